--- /dev/null
+++ b/crates/stand-ins/src/fabric.rs
@@ -0,0 +1,169 @@
+//! The fabric: it hands each packet for a service address to any live host, and routes all others.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{IpAddr, SocketAddr, UdpSocket},
+    path::PathBuf,
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use settings::Tree;
+
+use crate::wire;
+
+/// How long a host counts as live after its last announcement.
+const LIVE_FOR: Duration = Duration::from_millis(500);
+
+/// The fabric before the hosts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fabric")]
+pub struct Options {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// the tree of settings, for the service addresses
+    #[argh(option)]
+    tree: PathBuf,
+    /// seed of the spraying
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// packets lost, of 10,000
+    #[argh(option, default = "0")]
+    loss: u32,
+    /// packets doubled, of 10,000
+    #[argh(option, default = "0")]
+    doubled: u32,
+    /// packets delayed by up to 20 ms, of 10,000
+    #[argh(option, default = "0")]
+    delayed: u32,
+}
+
+struct Fabric<'a> {
+    options: &'a Options,
+    socket: UdpSocket,
+    service_addresses: Vec<IpAddr>,
+    hosts: BTreeMap<SocketAddr, Instant>,
+    endpoints: BTreeMap<IpAddr, SocketAddr>,
+    rng: StdRng,
+    late: Vec<(Instant, SocketAddr, Vec<u8>)>,
+}
+
+/// Routes until the process is told to end.
+///
+/// # Errors
+///
+/// Fails if the tree cannot be read or the address cannot be bound.
+pub fn run(options: &Options) -> Result<()> {
+    let tree: Tree = serde_json::from_str(&fs::read_to_string(&options.tree)?)?;
+    let mut service_addresses: Vec<IpAddr> = tree
+        .services
+        .values()
+        .flat_map(|service| service.listeners.values())
+        .map(|listener| listener.address)
+        .collect();
+    service_addresses.sort_unstable();
+    let socket = UdpSocket::bind(options.listen).wrap_err("the address cannot be bound")?;
+    socket.set_read_timeout(Some(Duration::from_millis(5)))?;
+    let is_ended = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, is_ended.clone())?;
+    let mut fabric = Fabric {
+        options,
+        socket,
+        service_addresses,
+        hosts: BTreeMap::new(),
+        endpoints: BTreeMap::new(),
+        rng: StdRng::seed_from_u64(options.seed),
+        late: Vec::new(),
+    };
+    let mut buffer = vec![0; 65_535];
+    while !is_ended.load(Ordering::Relaxed) {
+        if let Ok((length, from)) = fabric.socket.recv_from(&mut buffer) {
+            fabric.handle(&buffer[..length], from);
+        }
+        fabric.send_late();
+    }
+    Ok(())
+}
+
+impl Fabric<'_> {
+    fn handle(&mut self, datagram: &[u8], from: SocketAddr) {
+        if datagram.first() == Some(&wire::GUE_CONTROL) {
+            return self.handle_control(datagram, from);
+        }
+        let Some(destination) = wire::destination(datagram) else { return };
+        if self.service_addresses.binary_search(&destination).is_ok() {
+            if let Some(host) = self.pick_host() {
+                self.send(datagram, host);
+            }
+            return;
+        }
+        if let Some(endpoint) = self.endpoints.get(&destination).copied() {
+            self.send(datagram, endpoint);
+            return;
+        }
+    }
+
+    fn handle_control(&mut self, message: &[u8], from: SocketAddr) {
+        match message.get(1).copied() {
+            Some(wire::TAKES_PACKETS) => {
+                self.hosts.insert(from, Instant::now());
+            }
+            Some(wire::WITHDRAWN) => {
+                self.hosts.remove(&from);
+            }
+            Some(wire::ADDRESS_HERE) => {
+                if let Some(address) = wire::registered(message) {
+                    self.endpoints.insert(address, from);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn pick_host(&mut self) -> Option<SocketAddr> {
+        self.hosts.retain(|_, heard| heard.elapsed() < LIVE_FOR);
+        let count = self.hosts.len();
+        if count == 0 {
+            return None;
+        }
+        let position = self.rng.random_range(0..count);
+        self.hosts.keys().nth(position).copied()
+    }
+
+    fn send(&mut self, packet: &[u8], to: SocketAddr) {
+        if self.happens(self.options.loss) {
+            return;
+        }
+        if self.happens(self.options.doubled) {
+            self.send_now(packet, to);
+        }
+        if self.happens(self.options.delayed) {
+            let delay = Duration::from_millis(self.rng.random_range(1..20));
+            self.late.push((Instant::now() + delay, to, packet.to_vec()));
+            return;
+        }
+        self.send_now(packet, to);
+    }
+
+    fn send_now(&self, packet: &[u8], to: SocketAddr) {
+        // A lost packet is a fault that both ends are made for.
+        let _ = self.socket.send_to(packet, to);
+    }
+
+    fn send_late(&mut self) {
+        let now = Instant::now();
+        let due: Vec<_> = self.late.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, to, packet) in due {
+            self.send_now(&packet, to);
+        }
+    }
+
+    fn happens(&mut self, of_10000: u32) -> bool {
+        of_10000 > 0 && self.rng.random_range(0..10_000) < of_10000
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/memory_store.rs
@@ -0,0 +1,129 @@
+//! A key-value store in memory, with the faults of a real one.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use smol::Timer;
+use store::{Entry, KeyValue, Read, StoreError, Swap, Wait};
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Every call fails without effect.
+    pub is_down: bool,
+    /// How much later every answer comes, in milliseconds.
+    pub delay_ms: u64,
+    /// The answers of so many writes are lost after they took effect.
+    pub lost_answers: u32,
+    /// Reads give what the store held when this was set.
+    pub is_stale: bool,
+}
+
+/// How many calls the store had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize)]
+pub struct Calls {
+    /// Reads, a waiting one counted once.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    entries: BTreeMap<String, Entry>,
+    stale: BTreeMap<String, Entry>,
+    index: u64,
+    faults: Faults,
+    calls: Calls,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    contents: Mutex<Contents>,
+}
+
+/// How often a waiting read looks for a change.
+const POLL: Duration = Duration::from_millis(5);
+
+impl MemoryStore {
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut contents = self.lock();
+        if faults.is_stale && !contents.faults.is_stale {
+            contents.stale = contents.entries.clone();
+        }
+        contents.faults = faults;
+    }
+
+    /// The calls so far.
+    pub fn calls(&self) -> Calls {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    async fn delay(&self) {
+        let delay_ms = self.lock().faults.delay_ms;
+        if delay_ms > 0 {
+            Timer::after(Duration::from_millis(delay_ms)).await;
+        }
+    }
+
+    fn read(&self, key: &str) -> Read {
+        let contents = self.lock();
+        let entries = if contents.faults.is_stale { &contents.stale } else { &contents.entries };
+        Read { entry: entries.get(key).cloned(), index: contents.index.max(1) }
+    }
+
+    fn check_up(&self) -> Result<(), StoreError> {
+        if self.lock().faults.is_down {
+            return Err(StoreError::Unreachable("the store is down".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl KeyValue for MemoryStore {
+    async fn get(&self, key: &str, wait: Wait) -> Result<Read, StoreError> {
+        self.lock().calls.reads += 1;
+        self.delay().await;
+        self.check_up()?;
+        let Wait::ForChange { index, timeout } = wait else { return Ok(self.read(key)) };
+        let mut waited = Duration::ZERO;
+        loop {
+            let read = self.read(key);
+            let modified = read.entry.as_ref().map_or(0, |entry| entry.modify_index);
+            if modified > index || waited >= timeout {
+                return Ok(read);
+            }
+            Timer::after(POLL).await;
+            waited += POLL;
+            self.check_up()?;
+        }
+    }
+
+    async fn swap(&self, key: &str, value: &[u8], modify_index: u64) -> Result<Swap, StoreError> {
+        self.lock().calls.writes += 1;
+        self.delay().await;
+        self.check_up()?;
+        let mut contents = self.lock();
+        let current = contents.entries.get(key).map_or(0, |entry| entry.modify_index);
+        if current != modify_index {
+            return Ok(Swap::Conflict);
+        }
+        contents.index += 1;
+        let entry = Entry { value: value.to_vec(), modify_index: contents.index };
+        contents.entries.insert(key.to_owned(), entry);
+        if contents.faults.lost_answers > 0 {
+            contents.faults.lost_answers -= 1;
+            return Err(StoreError::NoAnswer("the answer was lost".to_owned()));
+        }
+        Ok(Swap::Stored)
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/tcp_host.rs
@@ -0,0 +1,137 @@
+//! A machine with a user-space TCP stack behind the fabric.
+
+use std::{collections::VecDeque, net::IpAddr, time::Instant as StdInstant};
+
+use smoltcp::{
+    iface::{Config, Interface, SocketHandle, SocketSet},
+    phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken},
+    socket::tcp,
+    time::Instant,
+    wire::{HardwareAddress, IpAddress, IpCidr, IpEndpoint},
+};
+
+/// The largest IP packet, in bytes.
+const MTU_BYTES: usize = 1_400;
+
+/// The socket buffers, in bytes.
+const BUFFER_BYTES: usize = 8_192;
+
+/// A machine with one address.
+pub(crate) struct TcpHost {
+    pub(crate) address: IpAddr,
+    pub(crate) sockets: SocketSet<'static>,
+    interface: Interface,
+    queues: Queues,
+    started: StdInstant,
+}
+
+#[derive(Default)]
+struct Queues {
+    received: VecDeque<Vec<u8>>,
+    to_send: VecDeque<Vec<u8>>,
+}
+
+pub(crate) struct Received(Vec<u8>);
+
+pub(crate) struct Sending<'a>(&'a mut VecDeque<Vec<u8>>);
+
+impl RxToken for Received {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, handle: F) -> R {
+        handle(&self.0)
+    }
+}
+
+impl TxToken for Sending<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, length: usize, fill: F) -> R {
+        let mut packet = vec![0; length];
+        let result = fill(&mut packet);
+        self.0.push_back(packet);
+        result
+    }
+}
+
+impl Device for Queues {
+    type RxToken<'a> = Received;
+    type TxToken<'a> = Sending<'a>;
+
+    fn receive(&mut self, _now: Instant) -> Option<(Received, Sending<'_>)> {
+        let packet = self.received.pop_front()?;
+        Some((Received(packet), Sending(&mut self.to_send)))
+    }
+
+    fn transmit(&mut self, _now: Instant) -> Option<Sending<'_>> {
+        Some(Sending(&mut self.to_send))
+    }
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.medium = Medium::Ip;
+        capabilities.max_transmission_unit = MTU_BYTES;
+        capabilities
+    }
+}
+
+impl TcpHost {
+    pub(crate) fn new(address: IpAddr, seed: u64) -> TcpHost {
+        let mut queues = Queues::default();
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let started = StdInstant::now();
+        let mut interface = Interface::new(config, &mut queues, Instant::from_millis(0));
+        let (own, prefix) = match address {
+            IpAddr::V4(ip) => (IpAddress::Ipv4(ip), 32),
+            IpAddr::V6(ip) => (IpAddress::Ipv6(ip), 128),
+        };
+        interface.update_ip_addrs(|addresses| {
+            let _ = addresses.push(IpCidr::new(own, prefix));
+        });
+        // Without links there are no neighbours; any gateway makes the stack send.
+        let _ = match address {
+            IpAddr::V4(ip) => interface.routes_mut().add_default_ipv4_route(ip).map(|_| ()),
+            IpAddr::V6(ip) => interface.routes_mut().add_default_ipv6_route(ip).map(|_| ()),
+        };
+        TcpHost { address, sockets: SocketSet::new(Vec::new()), interface, queues, started }
+    }
+
+    pub(crate) fn receive(&mut self, packet: &[u8]) {
+        self.queues.received.push_back(packet.to_vec());
+    }
+
+    /// Advances the stack. Gives the packets to be sent.
+    pub(crate) fn poll(&mut self) -> impl Iterator<Item = Vec<u8>> + '_ {
+        let now = Instant::from_micros(self.started.elapsed().as_micros() as i64);
+        self.interface.poll(now, &mut self.queues, &mut self.sockets);
+        self.queues.to_send.drain(..)
+    }
+
+    pub(crate) fn listen(&mut self, port: u16) -> SocketHandle {
+        let mut socket = new_socket();
+        // Port zero is the only one that cannot be listened on.
+        let _ = socket.listen(port);
+        self.sockets.add(socket)
+    }
+
+    pub(crate) fn connect(&mut self, to: (IpAddr, u16), local_port: u16) -> SocketHandle {
+        let mut socket = new_socket();
+        let remote = IpEndpoint::new(IpAddress::from(to.0), to.1);
+        // Fails only for unusable endpoints, which the tree does not hold.
+        let _ = socket.connect(self.interface.context(), remote, local_port);
+        self.sockets.add(socket)
+    }
+
+    pub(crate) fn socket(&mut self, handle: SocketHandle) -> &mut tcp::Socket<'static> {
+        self.sockets.get_mut(handle)
+    }
+
+    pub(crate) fn remove(&mut self, handle: SocketHandle) {
+        self.sockets.remove(handle);
+    }
+}
+
+fn new_socket() -> tcp::Socket<'static> {
+    let received = tcp::SocketBuffer::new(vec![0; BUFFER_BYTES]);
+    let to_send = tcp::SocketBuffer::new(vec![0; BUFFER_BYTES]);
+    let mut socket = tcp::Socket::new(received, to_send);
+    socket.set_nagle_enabled(false);
+    socket
+}
--- /dev/null
+++ b/crates/stand-ins/src/upstream.rs
@@ -0,0 +1,345 @@
+//! Upstreams: targets that run requests in slots and answer sessions.
+//!
+//! A request is the line `REQ ID WORK_MS SIZE SERVICE`; the answer is `RES ID SIZE` and SIZE bytes,
+//! after which the target closes. A session is the line `SES ID SERVICE`, then `PING N` answered by
+//! `PONG N`.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{IpAddr, SocketAddr, UdpSocket},
+    path::PathBuf,
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr, eyre};
+use serde::{Deserialize, Serialize};
+use settings::Tree;
+use smoltcp::{iface::SocketHandle, socket::tcp::State};
+
+use crate::{tcp_host::TcpHost, wire};
+
+/// How many sockets of a port wait for a connection at any time.
+const BACKLOG: usize = 16;
+
+/// The targets of one upstream.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "upstream")]
+pub struct Options {
+    /// address of the fabric
+    #[argh(option)]
+    fabric: SocketAddr,
+    /// the tree of settings
+    #[argh(option)]
+    tree: PathBuf,
+    /// name of the service
+    #[argh(option)]
+    service: String,
+    /// name of the upstream
+    #[argh(option)]
+    upstream: String,
+    /// requests that a target runs at a time
+    #[argh(option, default = "3")]
+    slots: usize,
+    /// how much slower the first requests are, in milliseconds, falling to nothing in 5 s
+    #[argh(option, default = "0")]
+    cold_ms: u64,
+    /// refuse every connection
+    #[argh(switch)]
+    shed: bool,
+}
+
+/// What an upstream did, printed as one JSON line at its end.
+#[derive(Debug, Clone, Serialize, Deserialize, Default)]
+pub struct Report {
+    /// The requests that were run, with how often.
+    pub runs: BTreeMap<u64, u32>,
+    /// Requests and sessions that were meant for another service.
+    pub misdelivered: u64,
+    /// Requests that had to wait inside a target since its slots were in use.
+    pub overflows: u64,
+    /// The connections of each target when the process ended.
+    pub connections: BTreeMap<String, usize>,
+    /// How many requests each target ran.
+    pub requests: BTreeMap<String, u64>,
+}
+
+/// What one connection is doing.
+enum Work {
+    Reading(Vec<u8>),
+    Queued { id: u64, work_ms: u64, size: usize },
+    Running { id: u64, until: Instant, size: usize },
+    Sending { bytes: Vec<u8>, sent: usize },
+    Session { input: Vec<u8>, output: Vec<u8> },
+    Closing,
+}
+
+struct Connection {
+    handle: SocketHandle,
+    work: Work,
+}
+
+struct TargetHost {
+    host: TcpHost,
+    listening: BTreeMap<u16, Vec<SocketHandle>>,
+    connections: Vec<Connection>,
+}
+
+struct Process<'a> {
+    options: &'a Options,
+    report: Report,
+    started: Instant,
+}
+
+/// Serves until the process is told to end, then prints the report.
+///
+/// # Errors
+///
+/// Fails if the tree does not hold the upstream.
+pub fn run(options: &Options) -> Result<()> {
+    let tree: Tree = serde_json::from_str(&fs::read_to_string(&options.tree)?)?;
+    let service = tree.services.get(&options.service).ok_or_else(|| eyre!("no such service"))?;
+    let upstream =
+        service.upstreams.get(&options.upstream).ok_or_else(|| eyre!("no such upstream"))?;
+    let ports: Vec<u16> = service.listeners.values().map(|listener| listener.target_port).collect();
+    let mut targets: Vec<TargetHost> = upstream
+        .targets
+        .values()
+        .enumerate()
+        .map(|(index, target)| new_target(target.address, &ports, index as u64, options.shed))
+        .collect();
+    let socket = UdpSocket::bind((fabric_side(options.fabric), 0)).wrap_err("no socket")?;
+    socket.set_read_timeout(Some(Duration::from_millis(1)))?;
+    let is_ended = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, is_ended.clone())?;
+    let mut process = Process { options, report: Report::default(), started: Instant::now() };
+    let mut registered: Option<Instant> = None;
+    let mut buffer = vec![0; 65_535];
+    while !is_ended.load(Ordering::Relaxed) {
+        if registered.is_none_or(|at| at.elapsed() > Duration::from_millis(500)) {
+            registered = Some(Instant::now());
+            for target in &targets {
+                wire::register(&socket, options.fabric, target.host.address);
+            }
+        }
+        receive(&socket, &mut buffer, &mut targets);
+        for target in &mut targets {
+            process.serve(target);
+            let packets: Vec<Vec<u8>> = target.host.poll().collect();
+            for packet in packets {
+                let _ = socket.send_to(&packet, options.fabric);
+            }
+        }
+    }
+    for target in &targets {
+        let name = target.host.address.to_string();
+        process.report.connections.insert(name, target.connections.len());
+    }
+    println!("{}", serde_json::to_string(&process.report)?);
+    Ok(())
+}
+
+pub(crate) fn fabric_side(fabric: SocketAddr) -> IpAddr {
+    fabric.ip()
+}
+
+fn receive(socket: &UdpSocket, buffer: &mut [u8], targets: &mut [TargetHost]) {
+    // The first read waits for up to the read timeout; the rest takes what is there.
+    let mut budget = 256;
+    while let Ok((length, _)) = socket.recv_from(buffer) {
+        let packet = &buffer[..length];
+        let destination = wire::destination(packet);
+        let found = targets.iter_mut().find(|target| Some(target.host.address) == destination);
+        if let Some(target) = found {
+            target.host.receive(packet);
+        }
+        budget -= 1;
+        if budget == 0 {
+            return;
+        }
+    }
+}
+
+fn new_target(address: IpAddr, ports: &[u16], seed: u64, shed: bool) -> TargetHost {
+    let mut host = TcpHost::new(address, seed + 1);
+    let mut listening = BTreeMap::new();
+    if !shed {
+        for port in ports {
+            let handles = (0..BACKLOG).map(|_| host.listen(*port)).collect();
+            listening.insert(*port, handles);
+        }
+    }
+    TargetHost { host, listening, connections: Vec::new() }
+}
+
+impl Process<'_> {
+    fn serve(&mut self, target: &mut TargetHost) {
+        accept(target);
+        let running = |connection: &Connection| matches!(connection.work, Work::Running { .. });
+        let mut in_use = target.connections.iter().filter(|entry| running(entry)).count();
+        let name = target.host.address.to_string();
+        for connection in &mut target.connections {
+            let socket = target.host.sockets.get_mut(connection.handle);
+            let work = std::mem::replace(&mut connection.work, Work::Closing);
+            connection.work = self.step(work, socket, &mut in_use, &name);
+        }
+        let host = &mut target.host;
+        target.connections.retain(|connection| {
+            let is_over = host.socket(connection.handle).state() == State::Closed;
+            if is_over {
+                host.remove(connection.handle);
+            }
+            !is_over
+        });
+    }
+
+    fn step(
+        &mut self,
+        work: Work,
+        socket: &mut smoltcp::socket::tcp::Socket<'static>,
+        in_use: &mut usize,
+        target: &str,
+    ) -> Work {
+        match work {
+            Work::Reading(mut input) => {
+                read_into(socket, &mut input);
+                let Some(line) = take_line(&mut input) else {
+                    if !socket.may_recv() {
+                        socket.close();
+                        return Work::Closing;
+                    }
+                    return Work::Reading(input);
+                };
+                self.start(&line, input, *in_use, target)
+            }
+            Work::Queued { id, work_ms, size } => {
+                if *in_use >= self.options.slots {
+                    return Work::Queued { id, work_ms, size };
+                }
+                *in_use += 1;
+                let work = Duration::from_millis(work_ms + self.cold_extra_ms());
+                Work::Running { id, until: Instant::now() + work, size }
+            }
+            Work::Running { id, until, size } => {
+                if Instant::now() < until {
+                    return Work::Running { id, until, size };
+                }
+                Work::Sending { bytes: answer(id, size), sent: 0 }
+            }
+            Work::Sending { bytes, mut sent } => {
+                sent += socket.send_slice(&bytes[sent..]).unwrap_or(0);
+                if sent == bytes.len() || !socket.may_send() {
+                    socket.close();
+                    return Work::Closing;
+                }
+                Work::Sending { bytes, sent }
+            }
+            Work::Session { mut input, mut output } => {
+                read_into(socket, &mut input);
+                while let Some(line) = take_line(&mut input) {
+                    if let Some(number) = line.strip_prefix("PING ") {
+                        output.extend_from_slice(format!("PONG {number}\n").as_bytes());
+                    }
+                }
+                let sent = socket.send_slice(&output).unwrap_or(0);
+                output.drain(..sent);
+                if !socket.may_recv() {
+                    socket.close();
+                    return Work::Closing;
+                }
+                Work::Session { input, output }
+            }
+            Work::Closing => Work::Closing,
+        }
+    }
+
+    fn start(&mut self, line: &str, rest: Vec<u8>, in_use: usize, target: &str) -> Work {
+        let words: Vec<&str> = line.split(' ').collect();
+        match words.as_slice() {
+            ["REQ", id, work_ms, size, service] => {
+                self.check_service(service);
+                let id = id.parse().unwrap_or(0);
+                *self.report.runs.entry(id).or_default() += 1;
+                *self.report.requests.entry(target.to_owned()).or_default() += 1;
+                if in_use >= self.options.slots {
+                    self.report.overflows += 1;
+                }
+                Work::Queued {
+                    id,
+                    work_ms: work_ms.parse().unwrap_or(0),
+                    size: size.parse().unwrap_or(0),
+                }
+            }
+            ["SES", _, service] => {
+                self.check_service(service);
+                Work::Session { input: rest, output: Vec::new() }
+            }
+            _ => Work::Closing,
+        }
+    }
+
+    fn check_service(&mut self, service: &str) {
+        self.report.misdelivered += u64::from(service != self.options.service);
+    }
+
+    fn cold_extra_ms(&self) -> u64 {
+        const COLD_FOR_MS: u64 = 5_000;
+        let age_ms = (self.started.elapsed().as_millis() as u64).min(COLD_FOR_MS);
+        self.options.cold_ms * (COLD_FOR_MS - age_ms) / COLD_FOR_MS
+    }
+}
+
+fn accept(target: &mut TargetHost) {
+    let ports: Vec<u16> = target.listening.keys().copied().collect();
+    for port in ports {
+        let Some(handles) = target.listening.get_mut(&port) else { continue };
+        let host = &mut target.host;
+        let mut accepted = Vec::new();
+        handles.retain(|handle| {
+            let state = host.socket(*handle).state();
+            let is_waiting = matches!(state, State::Listen | State::SynReceived);
+            if !is_waiting {
+                accepted.push(*handle);
+            }
+            is_waiting
+        });
+        let free =
+            handles.iter().filter(|handle| host.socket(**handle).state() == State::Listen).count();
+        for _ in free..BACKLOG {
+            handles.push(host.listen(port));
+        }
+        for handle in accepted {
+            let work = Work::Reading(Vec::new());
+            target.connections.push(Connection { handle, work });
+        }
+    }
+}
+
+fn answer(id: u64, size: usize) -> Vec<u8> {
+    let mut bytes = format!("RES {id} {size}\n").into_bytes();
+    bytes.extend((0..size).map(|index| body_byte(id, index)));
+    bytes
+}
+
+/// The byte at `index` of the answer to request `id`.
+pub(crate) fn body_byte(id: u64, index: usize) -> u8 {
+    (id as usize).wrapping_mul(31).wrapping_add(index.wrapping_mul(7)) as u8
+}
+
+pub(crate) fn read_into(socket: &mut smoltcp::socket::tcp::Socket<'static>, input: &mut Vec<u8>) {
+    let mut chunk = [0; 4096];
+    while let Ok(length) = socket.recv_slice(&mut chunk) {
+        if length == 0 {
+            return;
+        }
+        input.extend_from_slice(&chunk[..length]);
+    }
+}
+
+pub(crate) fn take_line(input: &mut Vec<u8>) -> Option<String> {
+    let end = input.iter().position(|byte| *byte == b'\n')?;
+    let line: Vec<u8> = input.drain(..=end).collect();
+    Some(String::from_utf8_lossy(&line[..end]).into_owned())
+}
--- /dev/null
+++ b/crates/store/src/accept.rs
@@ -0,0 +1,312 @@
+//! Acceptance of settings by one compare-and-swap of the root record.
+
+use std::fmt;
+
+use settings::{
+    Blobs, Digest, Fault, Packed, Root, RootError, Tree, check, check_change, pack, unpack,
+};
+
+use crate::{Entry, KeyValue, StoreError, Swap, Wait};
+
+const ROOT_KEY: &str = "wagtailstall/root";
+const BLOB_PREFIX: &str = "wagtailstall/blobs/";
+
+/// How often an acceptance is tried before the store counts as unavailable.
+const ATTEMPTS_MAX: usize = 5;
+
+/// How many roots are looked back through for an edit whose answer was lost.
+const LOOK_BACK_MAX: usize = 32;
+
+/// An edit that an operator wants to be accepted.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Edit {
+    /// The whole new tree.
+    pub tree: Tree,
+    /// The revision that the operator started from; 0 for the first tree.
+    pub base_revision: u64,
+    /// A random number that identifies this edit.
+    pub writer_nonce: u64,
+    /// What the operator says about it.
+    pub note: String,
+    /// The time, in milliseconds since 1970.
+    pub now_ms: u64,
+}
+
+/// An accepted edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// The root record in force.
+    pub root: Root,
+    /// How many calls to the store it took.
+    pub store_calls: usize,
+}
+
+/// Why an edit was not accepted.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Rejection {
+    /// The tree has faults. Nothing was written.
+    Faulty(Vec<Fault>),
+    /// Another edit was accepted meanwhile, code 301.
+    Conflict {
+        /// The revision that the operator started from.
+        base_revision: u64,
+        /// The revision in force.
+        current_revision: u64,
+        /// What was said about the edit in force.
+        note: String,
+    },
+    /// The store failed.
+    Store(StoreError),
+    /// What the store holds is not a settings record, code 302.
+    Record(RootError),
+}
+
+impl fmt::Display for Rejection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejection::Faulty(faults) => {
+                for fault in faults {
+                    writeln!(f, "{fault}")?;
+                }
+                write!(f, "{} faults; nothing was written", faults.len())
+            }
+            Rejection::Conflict { base_revision, current_revision, note } => write!(
+                f,
+                "301: the edit started from revision {base_revision}, but revision \
+                 {current_revision} ('{note}') is in force; get it, merge and apply again"
+            ),
+            Rejection::Store(error) => write!(f, "{error}"),
+            Rejection::Record(error) => write!(f, "302: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Rejection {}
+
+impl From<StoreError> for Rejection {
+    fn from(error: StoreError) -> Rejection {
+        Rejection::Store(error)
+    }
+}
+
+impl From<RootError> for Rejection {
+    fn from(error: RootError) -> Rejection {
+        Rejection::Record(error)
+    }
+}
+
+/// Checks `edit` and puts it in force.
+///
+/// If the answer to the swap is lost, the root is read back: the edit's nonce tells whether it took
+/// effect.
+///
+/// # Errors
+///
+/// Says why the edit is not in force.
+pub async fn accept<S: KeyValue>(store: &S, edit: &Edit) -> Result<Accepted, Rejection> {
+    let faults = check(&edit.tree);
+    if !faults.is_empty() {
+        return Err(Rejection::Faulty(faults));
+    }
+    let packed = pack(&edit.tree);
+    let mut session = Session { store, calls: 0 };
+    let mut last_error = None;
+    for _ in 0..ATTEMPTS_MAX {
+        match session.attempt(edit, &packed).await {
+            Err(Rejection::Store(error @ StoreError::NoAnswer(_))) => last_error = Some(error),
+            Ok(root) => return Ok(Accepted { root, store_calls: session.calls }),
+            Err(rejection) => return Err(rejection),
+        }
+    }
+    let timeout = StoreError::NoAnswer("the store failed repeatedly".to_owned());
+    Err(Rejection::Store(last_error.unwrap_or(timeout)))
+}
+
+/// Reads the root record, waiting for a change if `wait` says so. Gives it with its read index.
+///
+/// # Errors
+///
+/// Fails if the store does or if the value is no root record.
+pub async fn read_root<S: KeyValue>(
+    store: &S,
+    wait: Wait,
+) -> Result<(Option<Root>, u64), Rejection> {
+    let read = store.get(ROOT_KEY, wait).await?;
+    let root = read.entry.as_ref().map(parse_root).transpose()?;
+    Ok((root, read.index))
+}
+
+/// Adds the blobs of `root` that `blobs` lacks, and puts the tree together.
+///
+/// # Errors
+///
+/// Fails if the store does or if a blob is not what its digest says.
+pub async fn load<S: KeyValue>(
+    store: &S,
+    root: &Root,
+    blobs: &mut Blobs,
+) -> Result<Tree, Rejection> {
+    loop {
+        let missing = match unpack(root, blobs) {
+            Ok(tree) => return Ok(tree),
+            Err(RootError::Missing(missing)) => missing,
+            Err(error) => return Err(error.into()),
+        };
+        for digest in missing {
+            let bytes = read_blob(store, &digest).await?;
+            blobs.insert(digest, bytes);
+        }
+    }
+}
+
+/// The root records from the one in force back, at most `limit`.
+///
+/// # Errors
+///
+/// Fails if the store does or if a record is malformed.
+pub async fn history<S: KeyValue>(store: &S, limit: usize) -> Result<Vec<Root>, Rejection> {
+    let (mut next, _) = read_root(store, Wait::No).await?;
+    let mut roots = Vec::new();
+    while let Some(root) = next {
+        if roots.len() == limit {
+            break;
+        }
+        next = match &root.previous {
+            Some(digest) => Some(read_previous(store, digest).await?),
+            None => None,
+        };
+        roots.push(root);
+    }
+    Ok(roots)
+}
+
+struct Session<'a, S> {
+    store: &'a S,
+    calls: usize,
+}
+
+impl<S: KeyValue> Session<'_, S> {
+    async fn attempt(&mut self, edit: &Edit, packed: &Packed) -> Result<Root, Rejection> {
+        self.calls += 1;
+        let read = self.store.get(ROOT_KEY, Wait::No).await?;
+        let current = read.entry.as_ref().map(parse_root).transpose()?;
+        if let Some(root) = self.find_own(edit, current.as_ref()).await? {
+            return Ok(root);
+        }
+        let current_revision = current.as_ref().map_or(0, |root| root.revision);
+        if current_revision != edit.base_revision {
+            return Err(Rejection::Conflict {
+                base_revision: edit.base_revision,
+                current_revision,
+                note: current.map_or(String::new(), |root| root.note),
+            });
+        }
+        let (previous, known) = self.check_against(edit, current.as_ref()).await?;
+        self.write_blobs(packed, &known).await?;
+        let root = Root {
+            revision: current_revision + 1,
+            previous,
+            writer_nonce: edit.writer_nonce,
+            note: edit.note.clone(),
+            accepted_at_ms: edit.now_ms,
+            base: packed.base.clone(),
+            groups: packed.groups.clone(),
+        };
+        let modify_index = read.entry.map_or(0, |entry| entry.modify_index);
+        self.calls += 1;
+        match self.store.swap(ROOT_KEY, &encode_root(&root), modify_index).await? {
+            Swap::Stored => Ok(root),
+            // Whoever came first is seen by the next attempt, which reports the conflict.
+            Swap::Conflict => {
+                let cause = "the root changed during the swap".to_owned();
+                Err(Rejection::Store(StoreError::NoAnswer(cause)))
+            }
+        }
+    }
+
+    // After a lost answer the edit may be in force already, or even followed by another.
+    async fn find_own(
+        &mut self,
+        edit: &Edit,
+        current: Option<&Root>,
+    ) -> Result<Option<Root>, Rejection> {
+        let mut next = current.cloned();
+        for _ in 0..LOOK_BACK_MAX {
+            let Some(root) = next else { return Ok(None) };
+            if root.writer_nonce == edit.writer_nonce {
+                return Ok(Some(root));
+            }
+            if root.revision <= edit.base_revision {
+                return Ok(None);
+            }
+            let Some(digest) = &root.previous else { return Ok(None) };
+            self.calls += 1;
+            next = Some(read_previous(self.store, digest).await?);
+        }
+        Ok(None)
+    }
+
+    /// Checks the change, keeps the root in force as a blob, and gives its digest and the blobs
+    /// that are in the store already.
+    async fn check_against(
+        &mut self,
+        edit: &Edit,
+        current: Option<&Root>,
+    ) -> Result<(Option<Digest>, Blobs), Rejection> {
+        let mut blobs = Blobs::new();
+        let Some(root) = current else { return Ok((None, blobs)) };
+        let old = load(self.store, root, &mut blobs).await?;
+        self.calls += blobs.len();
+        let faults = check_change(&old, &edit.tree);
+        if !faults.is_empty() {
+            return Err(Rejection::Faulty(faults));
+        }
+        let bytes = encode_root(root);
+        let digest = Digest::of(&bytes);
+        self.write_blob(&digest, &bytes).await?;
+        Ok((Some(digest), blobs))
+    }
+
+    async fn write_blobs(&mut self, packed: &Packed, known: &Blobs) -> Result<(), Rejection> {
+        for (digest, bytes) in &packed.blobs {
+            if !known.contains_key(digest) {
+                self.write_blob(digest, bytes).await?;
+            }
+        }
+        Ok(())
+    }
+
+    // A conflict means that the blob is there: its key is its content.
+    async fn write_blob(&mut self, digest: &Digest, bytes: &[u8]) -> Result<(), Rejection> {
+        self.calls += 1;
+        self.store.swap(&format!("{BLOB_PREFIX}{digest}"), bytes, 0).await?;
+        Ok(())
+    }
+}
+
+async fn read_blob<S: KeyValue>(store: &S, digest: &Digest) -> Result<Vec<u8>, Rejection> {
+    let read = store.get(&format!("{BLOB_PREFIX}{digest}"), Wait::No).await?;
+    let entry = read.entry.ok_or_else(|| RootError::Missing(vec![digest.clone()]))?;
+    if Digest::of(&entry.value) != *digest {
+        let cause = format!("blob {digest} holds other bytes");
+        return Err(RootError::Malformed(cause).into());
+    }
+    Ok(entry.value)
+}
+
+async fn read_previous<S: KeyValue>(store: &S, digest: &Digest) -> Result<Root, Rejection> {
+    let bytes = read_blob(store, digest).await?;
+    parse_root(&Entry { value: bytes, modify_index: 0 })
+}
+
+fn parse_root(entry: &Entry) -> Result<Root, Rejection> {
+    serde_json::from_slice(&entry.value)
+        .map_err(|error| Rejection::Record(RootError::Malformed(error.to_string())))
+}
+
+fn encode_root(root: &Root) -> Vec<u8> {
+    match serde_json::to_vec(root) {
+        Ok(bytes) => bytes,
+        Err(error) => unreachable!("root records have plain keys: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,127 @@
+//! The client of the platform's service.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hyper::Method;
+use serde::Deserialize;
+
+use crate::{
+    Entry, KeyValue, Read, StoreError, Swap, Wait,
+    http::{self, Answer},
+};
+
+/// How long an answer may take, in milliseconds, waiting not counted.
+const ANSWER_MS: u64 = 2_000;
+
+/// A client that uses the first of its addresses that can be reached.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    addresses: Vec<SocketAddr>,
+}
+
+/// A host as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ServiceHost {
+    /// The address.
+    pub service_address: IpAddr,
+    /// The peer port.
+    pub service_port: u16,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct KvItem {
+    value: Option<String>,
+    modify_index: u64,
+}
+
+impl PlatformClient {
+    /// Creates a client of the service at `addresses`.
+    pub fn new(addresses: &[SocketAddr]) -> PlatformClient {
+        PlatformClient { addresses: addresses.to_vec() }
+    }
+
+    /// The hosts that the platform lists for `service`. The list lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service cannot be reached or answers something else.
+    pub async fn service_hosts(&self, service: &str) -> Result<Vec<ServiceHost>, StoreError> {
+        let path = format!("/v1/catalog/service/{service}");
+        let answer = self.send(Method::GET, &path, &[], 0).await?;
+        parse_json(&answer)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        wait_ms: u64,
+    ) -> Result<Answer, StoreError> {
+        let timeout = Duration::from_millis(ANSWER_MS + wait_ms);
+        let mut last = StoreError::Unreachable("no store address is configured".to_owned());
+        for address in &self.addresses {
+            match http::send(*address, method.clone(), path, body.to_vec(), timeout).await {
+                Ok(answer) => return Ok(answer),
+                // Only a call that had no effect may go to another address.
+                Err(error @ StoreError::Unreachable(_)) => last = error,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+}
+
+impl KeyValue for PlatformClient {
+    async fn get(&self, key: &str, wait: Wait) -> Result<Read, StoreError> {
+        let (query, wait_ms) = match wait {
+            Wait::No => (String::new(), 0),
+            Wait::ForChange { index, timeout } => {
+                let wait_ms = timeout.as_millis() as u64;
+                (format!("?index={index}&wait={wait_ms}ms"), wait_ms)
+            }
+        };
+        let path = format!("/v1/kv/{key}{query}");
+        let answer = self.send(Method::GET, &path, &[], wait_ms).await?;
+        if answer.status == 404 {
+            return Ok(Read { entry: None, index: answer.index });
+        }
+        let index = answer.index;
+        let items: Vec<KvItem> = parse_json(&answer)?;
+        let Some(item) = items.into_iter().next() else {
+            return Err(StoreError::Protocol("an empty list for an existing key".to_owned()));
+        };
+        let value = STANDARD
+            .decode(item.value.unwrap_or_default())
+            .map_err(|error| StoreError::Protocol(format!("value is not base64: {error}")))?;
+        Ok(Read { entry: Some(Entry { value, modify_index: item.modify_index }), index })
+    }
+
+    async fn swap(&self, key: &str, value: &[u8], modify_index: u64) -> Result<Swap, StoreError> {
+        let path = format!("/v1/kv/{key}?cas={modify_index}");
+        let answer = self.send(Method::PUT, &path, value, 0).await?;
+        match (answer.status, answer.body.trim_ascii()) {
+            (200, b"true") => Ok(Swap::Stored),
+            (200, b"false") => Ok(Swap::Conflict),
+            // A failing service may have stored the value before it failed.
+            (500..=599, _) => Err(StoreError::NoAnswer(format!("status {}", answer.status))),
+            (status, body) => {
+                let text = String::from_utf8_lossy(body);
+                Err(StoreError::Protocol(format!("status {status}: {text}")))
+            }
+        }
+    }
+}
+
+fn parse_json<T: for<'a> Deserialize<'a>>(answer: &Answer) -> Result<T, StoreError> {
+    if answer.status != 200 {
+        return Err(StoreError::NoAnswer(format!("status {}", answer.status)));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| StoreError::Protocol(error.to_string()))
+}
--- /dev/null
+++ b/crates/telemetry/src/logging.rs
@@ -0,0 +1,93 @@
+//! Structured logs: one JSON object a line, limited per event.
+
+use std::{
+    fmt::Display,
+    io,
+    sync::Mutex,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use eyre::WrapErr;
+use log::LevelFilter;
+use serde_json::{Map, Value};
+
+use crate::Event;
+
+/// How many lines of one event are written in one second.
+const LINES_PER_SECOND: u32 = 10;
+
+/// A named value of an event. Names carry the unit.
+pub type Field<'a> = (&'static str, &'a dyn Display);
+
+/// How many lines an event had in the current second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Limit {
+    second: u64,
+    lines: u32,
+    suppressed: u32,
+}
+
+static LIMITS: Mutex<[Limit; Event::ALL.len()]> =
+    Mutex::new([Limit { second: 0, lines: 0, suppressed: 0 }; Event::ALL.len()]);
+
+/// Starts logging to standard error, each line tagged with the host's name.
+///
+/// # Errors
+///
+/// Fails if logging was started before.
+pub fn init(host: &str, level: LevelFilter) -> eyre::Result<()> {
+    let host = host.to_owned();
+    fern::Dispatch::new()
+        .level(level)
+        .format(move |out, message, record| {
+            let line = format!("{message}");
+            // Events are JSON objects already; anything else is wrapped.
+            if line.starts_with('{') {
+                return out.finish(format_args!("{{\"host\":\"{host}\",{}", &line[1..]));
+            }
+            let text = Value::String(line);
+            let level = record.level();
+            out.finish(format_args!(
+                "{{\"host\":\"{host}\",\"level\":\"{level}\",\"message\":{text}}}"
+            ));
+        })
+        .chain(io::stderr())
+        .apply()
+        .wrap_err("logging was started before")
+}
+
+/// Logs `event` with `fields`.
+pub fn emit(event: Event, fields: &[Field<'_>]) {
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let Some(suppressed) = admit(event, now_ms / 1000) else { return };
+    let mut object = Map::new();
+    object.insert("at_ms".to_owned(), now_ms.into());
+    object.insert("event".to_owned(), event.number().into());
+    object.insert("name".to_owned(), event.name().into());
+    if suppressed > 0 {
+        object.insert("suppressed".to_owned(), suppressed.into());
+    }
+    for (name, value) in fields {
+        object.insert((*name).to_owned(), value.to_string().into());
+    }
+    log::log!(event.level(), "{}", Value::Object(object));
+}
+
+/// Whether a line may be written, with how many were left out before it.
+fn admit(event: Event, second: u64) -> Option<u32> {
+    let index = Event::ALL.iter().position(|known| *known == event)?;
+    let mut limits = LIMITS.lock().ok()?;
+    let limit = &mut limits[index];
+    if limit.second != second {
+        limit.second = second;
+        limit.lines = 0;
+    }
+    if limit.lines >= LINES_PER_SECOND {
+        limit.suppressed += 1;
+        return None;
+    }
+    limit.lines += 1;
+    Some(std::mem::take(&mut limit.suppressed))
+}
--- /dev/null
+++ b/crates/wagtailstall/src/edit.rs
@@ -0,0 +1,233 @@
+//! Commands that check and change the tree.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use argh::FromArgs;
+use eyre::{WrapErr, eyre};
+use serde_json::{Value, json};
+use settings::{Blobs, Tree, check_change, parse};
+use smol::Timer;
+use store::{Accepted, Edit, Wait, accept, load, read_root};
+
+use crate::{
+    Context,
+    exit::{Failure, Outcome},
+    hosts,
+    output::{Format, print_json, print_table},
+};
+
+/// How long `--wait` waits, in seconds.
+const WAIT_S: u64 = 30;
+
+/// check a tree of settings without writing anything
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// the JSON file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// show what a tree would change
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct Diff {
+    /// the JSON file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// put a tree in force
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct Apply {
+    /// the JSON file
+    #[argh(positional)]
+    file: PathBuf,
+    /// the revision that the edit started from; 0 for the first tree
+    #[argh(option)]
+    base: u64,
+    /// what the edit is for
+    #[argh(option, default = "String::new()")]
+    note: String,
+    /// wait until it is in force on every host named by --admin
+    #[argh(switch)]
+    wait: bool,
+}
+
+/// put an earlier revision in force again, as a new one
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollback")]
+pub(crate) struct Rollback {
+    /// the revision to return to
+    #[argh(positional)]
+    revision: u64,
+    /// wait until it is in force on every host named by --admin
+    #[argh(switch)]
+    wait: bool,
+}
+
+pub(crate) fn check(context: &Context, command: &Check) -> Outcome {
+    let tree = read_tree(&command.file)?;
+    let targets: usize = tree
+        .services
+        .values()
+        .flat_map(|service| service.upstreams.values())
+        .map(|upstream| upstream.targets.len())
+        .sum();
+    match context.format {
+        Format::Json => print_json(&json!({ "services": tree.services.len(), "targets": targets })),
+        Format::Text => println!("no faults: {} services, {targets} targets", tree.services.len()),
+    }
+    Ok(())
+}
+
+pub(crate) async fn diff(context: &Context, command: &Diff) -> Outcome {
+    let new = read_tree(&command.file)?;
+    let (revision, old) = current(context).await?;
+    let faults = check_change(&old, &new);
+    let changes = changes(&old, &new)?;
+    match context.format {
+        Format::Json => print_json(&json!({ "base": revision, "changes": changes })),
+        Format::Text => {
+            println!("against revision {revision}:");
+            let rows: Vec<Vec<String>> = changes
+                .iter()
+                .map(|(path, (old, new))| vec![path.clone(), show(old), show(new)])
+                .collect();
+            print_table(&["path", "in force", "new"], &rows);
+        }
+    }
+    if faults.is_empty() { Ok(()) } else { Err(Failure::Faulty(faults)) }
+}
+
+pub(crate) async fn apply(context: &Context, command: &Apply) -> Outcome {
+    let tree = read_tree(&command.file)?;
+    submit(context, tree, command.base, &command.note, command.wait).await
+}
+
+pub(crate) async fn rollback(context: &Context, command: &Rollback) -> Outcome {
+    let roots = store::history(&context.store, usize::MAX).await?;
+    let base = roots.first().map_or(0, |root| root.revision);
+    let root = roots
+        .iter()
+        .find(|root| root.revision == command.revision)
+        .ok_or_else(|| eyre!("303: there is no revision {}", command.revision))?;
+    let tree = load(&context.store, root, &mut Blobs::new()).await?;
+    let note = format!("rollback to revision {}", command.revision);
+    submit(context, tree, base, &note, command.wait).await
+}
+
+/// Puts `tree` in force and says so.
+pub(crate) async fn submit(
+    context: &Context,
+    tree: Tree,
+    base_revision: u64,
+    note: &str,
+    wait: bool,
+) -> Outcome {
+    let started = Instant::now();
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let edit =
+        Edit { tree, base_revision, writer_nonce: rand::random(), note: note.to_owned(), now_ms };
+    let accepted = accept(&context.store, &edit).await?;
+    let in_force_ms = match wait {
+        true => Some(wait_until_in_force(context, &accepted, started).await?),
+        false => None,
+    };
+    let revision = accepted.root.revision;
+    match (context.format, in_force_ms) {
+        (Format::Json, _) => print_json(&json!({
+            "revision": revision,
+            "store_calls": accepted.store_calls,
+            "in_force_ms": in_force_ms,
+        })),
+        (Format::Text, None) => println!("accepted as revision {revision}"),
+        (Format::Text, Some(in_force_ms)) => {
+            println!("revision {revision} in force on every host after {in_force_ms} ms");
+        }
+    }
+    Ok(())
+}
+
+async fn wait_until_in_force(
+    context: &Context,
+    accepted: &Accepted,
+    started: Instant,
+) -> Result<u64, Failure> {
+    let mut shown = usize::MAX;
+    while started.elapsed() < Duration::from_secs(WAIT_S) {
+        let behind = hosts::behind(context, accepted.root.revision).await;
+        if behind.is_empty() {
+            return Ok(started.elapsed().as_millis() as u64);
+        }
+        if behind.len() != shown && context.format == Format::Text {
+            shown = behind.len();
+            eprintln!("waiting for {shown} of {} hosts", context.admin.len());
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    let behind = hosts::behind(context, accepted.root.revision).await;
+    let revision = accepted.root.revision;
+    Err(eyre!("304: revision {revision} is accepted but not yet in force on {behind:?}").into())
+}
+
+/// The tree in force with its revision; an empty tree with 0 if there is none.
+pub(crate) async fn current(context: &Context) -> Result<(u64, Tree), Failure> {
+    let (root, _) = read_root(&context.store, Wait::No).await?;
+    let Some(root) = root else { return Ok((0, Tree::default())) };
+    let tree = load(&context.store, &root, &mut Blobs::new()).await?;
+    Ok((root.revision, tree))
+}
+
+fn read_tree(file: &Path) -> Result<Tree, Failure> {
+    let text = fs::read_to_string(file)
+        .wrap_err_with(|| format!("121: {} cannot be read", file.display()))?;
+    parse(&text).map_err(Failure::Faulty)
+}
+
+/// The leaves that differ, by JSON pointer.
+fn changes(old: &Tree, new: &Tree) -> Result<BTreeMap<String, (Value, Value)>, Failure> {
+    let mut leaves: BTreeMap<String, (Value, Value)> = BTreeMap::new();
+    for (path, value) in flatten(old)? {
+        leaves.entry(path).or_default().0 = value;
+    }
+    for (path, value) in flatten(new)? {
+        leaves.entry(path).or_default().1 = value;
+    }
+    leaves.retain(|_, (old, new)| old != new);
+    Ok(leaves)
+}
+
+fn flatten(tree: &Tree) -> Result<BTreeMap<String, Value>, Failure> {
+    let value = serde_json::to_value(tree).wrap_err("the tree cannot be encoded")?;
+    let mut leaves = BTreeMap::new();
+    let mut pending = vec![(String::new(), value)];
+    while let Some((path, value)) = pending.pop() {
+        match value {
+            Value::Object(fields) => {
+                pending.extend(
+                    fields.into_iter().map(|(name, value)| (format!("{path}/{name}"), value)),
+                );
+            }
+            leaf => {
+                leaves.insert(path, leaf);
+            }
+        }
+    }
+    Ok(leaves)
+}
+
+fn show(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        value => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/wagtailstall/src/exit.rs
@@ -0,0 +1,58 @@
+//! Why a command failed, and the exit code that says so.
+
+use std::process::ExitCode;
+
+use settings::Fault;
+use store::{Rejection, StoreError};
+
+/// The result of a command.
+pub(crate) type Outcome = Result<(), Failure>;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// A tree of settings has faults.
+    Faulty(Vec<Fault>),
+    /// The store or the acceptance said no.
+    Rejected(Rejection),
+    /// Anything else.
+    Other(eyre::Report),
+}
+
+impl From<eyre::Report> for Failure {
+    fn from(report: eyre::Report) -> Failure {
+        Failure::Other(report)
+    }
+}
+
+impl From<StoreError> for Failure {
+    fn from(error: StoreError) -> Failure {
+        Failure::Rejected(Rejection::Store(error))
+    }
+}
+
+impl Failure {
+    /// Prints the failure and gives the exit code.
+    pub(crate) fn report(&self) -> ExitCode {
+        match self {
+            Failure::Faulty(faults) => {
+                for fault in faults {
+                    eprintln!("error {fault}");
+                }
+                eprintln!("{} faults; nothing was written", faults.len());
+            }
+            Failure::Rejected(rejection) => eprintln!("error {rejection}"),
+            Failure::Other(report) => eprintln!("error {report:#}"),
+        }
+        ExitCode::from(self.code())
+    }
+
+    fn code(&self) -> u8 {
+        match self {
+            Failure::Faulty(_) | Failure::Rejected(Rejection::Faulty(_)) => 3,
+            Failure::Rejected(Rejection::Conflict { .. }) => 4,
+            Failure::Rejected(Rejection::Store(_)) => 5,
+            Failure::Rejected(Rejection::Record(_)) | Failure::Other(_) => 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wagtailstall/src/hosts.rs
@@ -0,0 +1,135 @@
+//! Commands that ask hosts through their admin pages.
+
+use std::{net::SocketAddr, time::Duration};
+
+use argh::FromArgs;
+use eyre::{WrapErr, eyre};
+use serde_json::Value;
+use store::get_text;
+
+use crate::{
+    Context,
+    exit::{Failure, Outcome},
+    output::{Format, print_json, print_table},
+};
+
+/// How long a host may take to answer.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// show the hosts named by --admin
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {}
+
+/// tell why a flow goes where it goes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "flows")]
+pub(crate) struct Flows {
+    /// the caller's address and port
+    #[argh(positional)]
+    caller: SocketAddr,
+    /// the service address and port
+    #[argh(positional)]
+    service: SocketAddr,
+    /// the transport protocol, tcp or udp
+    #[argh(option, default = "String::from(\"tcp\")")]
+    protocol: String,
+}
+
+pub(crate) async fn status(context: &Context, _command: &Status) -> Outcome {
+    let mut rows = Vec::new();
+    let mut values = Vec::new();
+    for admin in hosts(context)? {
+        match ask(*admin, "/status").await {
+            Ok(status) => {
+                rows.push(status_row(*admin, &status));
+                values.push(status);
+            }
+            Err(error) => rows.push(vec![admin.to_string(), format!("no answer: {error:#}")]),
+        }
+    }
+    match context.format {
+        Format::Json => print_json(&Value::Array(values)),
+        Format::Text => print_table(
+            &["admin", "host", "failure domain", "stage", "revision", "pins", "waiting"],
+            &rows,
+        ),
+    }
+    Ok(())
+}
+
+pub(crate) async fn flows(context: &Context, command: &Flows) -> Outcome {
+    let path = format!(
+        "/flows?protocol={}&caller={}&service={}",
+        command.protocol, command.caller, command.service
+    );
+    let mut rows = Vec::new();
+    let mut values = Vec::new();
+    for admin in hosts(context)? {
+        let report = ask(*admin, &path).await?;
+        let cell = |name: &str| match &report[name] {
+            Value::String(text) => text.clone(),
+            Value::Null => "-".to_owned(),
+            value => value.to_string(),
+        };
+        rows.push(vec![
+            admin.to_string(),
+            cell("bucket"),
+            cell("home"),
+            cell("backup"),
+            cell("target"),
+            cell("state"),
+        ]);
+        values.push(report);
+    }
+    match context.format {
+        Format::Json => print_json(&Value::Array(values)),
+        Format::Text => {
+            print_table(&["admin", "bucket", "home", "backup", "pinned to", "state"], &rows);
+        }
+    }
+    Ok(())
+}
+
+/// The hosts that answer and are not yet at `revision`. A host that does not answer is not live.
+pub(crate) async fn behind(context: &Context, revision: u64) -> Vec<SocketAddr> {
+    let mut behind = Vec::new();
+    for admin in &context.admin {
+        let Ok(status) = ask(*admin, "/status").await else { continue };
+        if status["revision"].as_u64().unwrap_or(0) < revision {
+            behind.push(*admin);
+        }
+    }
+    behind
+}
+
+fn hosts(context: &Context) -> Result<&[SocketAddr], Failure> {
+    if context.admin.is_empty() {
+        return Err(eyre!("name at least one host: --admin IP:PORT").into());
+    }
+    Ok(&context.admin)
+}
+
+async fn ask(admin: SocketAddr, path: &str) -> eyre::Result<Value> {
+    let (status, text) = get_text(admin, path, ANSWER).await?;
+    if status != 200 {
+        return Err(eyre!("{admin} answered {status}: {}", text.trim()));
+    }
+    serde_json::from_str(&text).wrap_err_with(|| format!("the answer of {admin}"))
+}
+
+fn status_row(admin: SocketAddr, status: &Value) -> Vec<String> {
+    let cell = |name: &str| match &status[name] {
+        Value::String(text) => text.clone(),
+        value => value.to_string(),
+    };
+    vec![
+        admin.to_string(),
+        cell("host"),
+        cell("failure_domain"),
+        cell("stage"),
+        cell("revision"),
+        cell("pins"),
+        cell("waiting"),
+    ]
+}
--- a/crates/wagtailstall/src/main.rs
+++ b/crates/wagtailstall/src/main.rs
@@ -1,1 +1,104 @@
-fn main() {}
+//! The operators' command.
+//!
+//! It talks to the platform's store, where settings are accepted, and to the hosts' admin pages,
+//! where the state is. It never talks to the hosts' peer ports.
+
+mod edit;
+mod exit;
+mod hosts;
+mod inspect;
+mod output;
+mod target;
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use argh::FromArgs;
+use store::PlatformClient;
+
+use crate::exit::{Failure, Outcome};
+
+/// Operates a wagtailstall deployment: edits its tree of settings and shows its state.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "wagtailstall check examples/agency.json",
+    example = "wagtailstall --store 127.0.0.1:8500 apply tree.json --base 7 --note 'more targets'",
+    example = "wagtailstall --store 127.0.0.1:8500 drain valuations/rabat-1/t03",
+    example = "wagtailstall --admin 127.0.0.1:9101 --admin 127.0.0.1:9102 status",
+    error_code(1, "a call failed"),
+    error_code(2, "the arguments are wrong"),
+    error_code(3, "the settings have faults; nothing was written"),
+    error_code(4, "another edit was accepted meanwhile"),
+    error_code(5, "the store does not answer")
+)]
+struct Arguments {
+    /// address of the platform's store; may be repeated
+    #[argh(option)]
+    store: Vec<SocketAddr>,
+    /// admin address of a host; may be repeated
+    #[argh(option)]
+    admin: Vec<SocketAddr>,
+    /// print JSON for programs
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(edit::Check),
+    Schema(inspect::Schema),
+    Diff(edit::Diff),
+    Apply(edit::Apply),
+    Get(inspect::Get),
+    Explain(inspect::Explain),
+    History(inspect::History),
+    Rollback(edit::Rollback),
+    Drain(target::Drain),
+    Undrain(target::Undrain),
+    Status(hosts::Status),
+    Flows(hosts::Flows),
+}
+
+/// Where to find what a command needs, and how to print.
+#[derive(Debug)]
+struct Context {
+    store: PlatformClient,
+    admin: Vec<SocketAddr>,
+    format: output::Format,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let format = if arguments.json { output::Format::Json } else { output::Format::Text };
+    let context =
+        Context { store: PlatformClient::new(&arguments.store), admin: arguments.admin, format };
+    match smol::block_on(run(&context, arguments.command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => failure.report(),
+    }
+}
+
+async fn run(context: &Context, command: Command) -> Outcome {
+    match command {
+        Command::Check(command) => edit::check(context, &command),
+        Command::Schema(command) => inspect::schema(&command),
+        Command::Diff(command) => edit::diff(context, &command).await,
+        Command::Apply(command) => edit::apply(context, &command).await,
+        Command::Get(command) => inspect::get(context, &command).await,
+        Command::Explain(command) => inspect::explain(context, &command).await,
+        Command::History(command) => inspect::history(context, &command).await,
+        Command::Rollback(command) => edit::rollback(context, &command).await,
+        Command::Drain(command) => target::drain(context, &command).await,
+        Command::Undrain(command) => target::undrain(context, &command).await,
+        Command::Status(command) => hosts::status(context, &command).await,
+        Command::Flows(command) => hosts::flows(context, &command).await,
+    }
+}
+
+impl From<store::Rejection> for Failure {
+    fn from(rejection: store::Rejection) -> Failure {
+        Failure::Rejected(rejection)
+    }
+}
--- /dev/null
+++ b/crates/wagtailstalld/src/control_thread.rs
@@ -0,0 +1,242 @@
+//! The thread that holds control state.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use async_signal::{Signal, Signals};
+use eyre::{Result, WrapErr};
+use futures_lite::{FutureExt, StreamExt};
+use host::{Control, ControlOutput, Stage, TrafficEvent};
+use routing::HostId;
+use settings::{Blobs, Digest, Root, Snapshot, Tree};
+use smol::{LocalExecutor, Timer};
+use telemetry::Event;
+use wire::Frame;
+
+use crate::{admin, announce, clock, peer_rpc, shared::Shared, store_task};
+
+/// How often control state advances, in milliseconds.
+const TICK_MS: u64 = 20;
+
+/// The settings in force with their parts, for hosts that ask.
+#[derive(Debug, Default)]
+pub(crate) struct Held {
+    pub(crate) root: Option<Root>,
+    pub(crate) blobs: Blobs,
+}
+
+/// The control state, shared by the tasks of this thread.
+#[derive(Clone)]
+pub(crate) struct State {
+    pub(crate) shared: Arc<Shared>,
+    control: Rc<RefCell<Control>>,
+    held: Rc<RefCell<Held>>,
+    is_fetching: Rc<RefCell<bool>>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+/// Runs until a planned stop is done.
+pub(crate) fn run(shared: &Arc<Shared>) -> Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let membership = membership::Config::default();
+    let control = Control::new(shared.config.clone(), membership, clock::now_ms());
+    let state = State {
+        shared: shared.clone(),
+        control: Rc::new(RefCell::new(control)),
+        held: Rc::default(),
+        is_fetching: Rc::default(),
+        executor: executor.clone(),
+    };
+    state.control.borrow_mut().set_seeds(&shared.settings.seed_addresses);
+    telemetry::emit(Event::Started, &[("peer_address", &shared.settings.peer_address)]);
+    smol::block_on(executor.run(async {
+        let admin = admin::listen(&state).await?;
+        let peers = peer_rpc::listen(&state).await?;
+        executor.spawn(admin).detach();
+        executor.spawn(peers).detach();
+        executor.spawn(store_task::follow(state.clone())).detach();
+        executor.spawn(store_task::list_hosts(state.clone())).detach();
+        let announcing = state.clone();
+        executor
+            .spawn(async move { announce::run(&announcing.shared, &announcing).await })
+            .detach();
+        executor.spawn(handle_signals(state.clone())).detach();
+        state.run_until_done().await
+    }))
+}
+
+impl State {
+    /// Where this host is in its life.
+    pub(crate) fn stage(&self) -> Stage {
+        self.control.borrow().stage()
+    }
+
+    /// The settings revision in force, or 0.
+    pub(crate) fn revision(&self) -> u64 {
+        self.control.borrow().revision()
+    }
+
+    /// What other hosts may fetch.
+    pub(crate) fn held(&self) -> std::cell::Ref<'_, Held> {
+        self.held.borrow()
+    }
+
+    /// Reads control state.
+    pub(crate) fn with_control<T>(&self, read: impl FnOnce(&Control) -> T) -> T {
+        read(&self.control.borrow())
+    }
+
+    /// Names hosts that may exist.
+    pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let mut all = self.shared.settings.seed_addresses.clone();
+        all.extend_from_slice(seeds);
+        self.control.borrow_mut().set_seeds(&all);
+    }
+
+    /// Puts the settings of `root` in force if they are newer.
+    pub(crate) fn take_settings(&self, root: Root, tree: &Tree, mut blobs: Blobs) {
+        let snapshot = Arc::new(Snapshot::compile(tree, root.revision));
+        let mut out = ControlOutput::default();
+        let is_taken = self.control.borrow_mut().on_settings(snapshot, clock::now_ms(), &mut out);
+        if is_taken {
+            retain_used(&root, tree, &mut blobs);
+            telemetry::emit(Event::SettingsInForce, &[("revision", &root.revision)]);
+            *self.held.borrow_mut() = Held { root: Some(root), blobs };
+        }
+        self.carry_out(out);
+    }
+
+    async fn run_until_done(&self) -> Result<()> {
+        let events = self.shared.events.1.clone();
+        let mut last_stage = self.stage();
+        let mut last_members = 0;
+        loop {
+            let tick = async {
+                Timer::after(Duration::from_millis(TICK_MS)).await;
+                None
+            };
+            let event = async { events.recv().await.ok() }.or(tick).await;
+            let mut out = ControlOutput::default();
+            if let Some(event) = event {
+                self.handle(event, &mut out);
+            }
+            while let Ok(event) = events.try_recv() {
+                self.handle(event, &mut out);
+            }
+            self.control.borrow_mut().tick(clock::now_ms(), &mut out);
+            self.carry_out(out);
+            self.log_changes(&mut last_stage, &mut last_members);
+            if self.stage() == Stage::Done {
+                telemetry::emit(Event::Stopped, &[]);
+                return Ok(());
+            }
+        }
+    }
+
+    fn handle(&self, event: TrafficEvent, out: &mut ControlOutput) {
+        let now_ms = clock::now_ms();
+        let mut control = self.control.borrow_mut();
+        match event {
+            TrafficEvent::Control { from, sender, message } => {
+                control.on_message(from, sender, &message, now_ms, out);
+            }
+            TrafficEvent::Frozen { gap_ms } => {
+                telemetry::emit(Event::Frozen, &[("gap_ms", &gap_ms)]);
+                control.on_frozen(now_ms, out);
+            }
+            TrafficEvent::HandedOver => control.on_handed_over(),
+            _ => {}
+        }
+    }
+
+    fn carry_out(&self, out: ControlOutput) {
+        if let Some(view) = out.view {
+            self.shared.view.store(Some(view));
+        }
+        for (to, message) in out.messages {
+            self.send(to, &message);
+        }
+        if let Some((from, revision)) = out.newer_settings {
+            self.fetch_from_peer(from, revision);
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &wire::Control) {
+        let body = wire::encode(message);
+        let me = self.shared.config.id();
+        let frame = Frame {
+            kind: wire::FrameKind::Control,
+            hops: 0,
+            listener_key: 0,
+            sender: me,
+            origin: HostId(0),
+            sent_at_ms: clock::now_ms(),
+            target: std::net::IpAddr::V6(std::net::Ipv6Addr::UNSPECIFIED),
+            body: &body,
+        };
+        let mut datagram = Vec::new();
+        frame.seal(&self.shared.config.peer_key, &mut datagram);
+        // Probes are repeated; a lost one is part of the protocol.
+        let _ = self.shared.peer.send_to(&datagram, to);
+    }
+
+    // One fetch at a time; if it fails the next probe of anyone starts another.
+    fn fetch_from_peer(&self, from: SocketAddr, revision: u64) {
+        if revision <= self.revision() || self.is_fetching.replace(true) {
+            return;
+        }
+        let state = self.clone();
+        self.executor
+            .spawn(async move {
+                if let Err(error) = peer_rpc::fetch(&state, from).await {
+                    telemetry::emit(
+                        Event::SettingsRejected,
+                        &[("from", &from), ("cause", &format!("{error:#}"))],
+                    );
+                }
+                state.is_fetching.replace(false);
+            })
+            .detach();
+    }
+
+    fn log_changes(&self, last_stage: &mut Stage, last_members: &mut usize) {
+        let stage = self.stage();
+        if stage != *last_stage {
+            *last_stage = stage;
+            match stage {
+                Stage::Ready => telemetry::emit(Event::Ready, &[]),
+                Stage::Leaving => telemetry::emit(Event::Stopping, &[]),
+                Stage::Left => telemetry::emit(Event::HandedOver, &[]),
+                Stage::Joining | Stage::Done => {}
+            }
+        }
+        let members = self.with_control(|control| {
+            control.members().members().filter(|member| member.state.is_alive()).count()
+        });
+        if members != *last_members {
+            *last_members = members;
+            telemetry::emit(Event::MembersChanged, &[("alive", &members)]);
+        }
+    }
+}
+
+async fn handle_signals(state: State) {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .wrap_err("signals cannot be handled");
+    let Ok(mut signals) = signals else { return };
+    while let Some(Ok(signal)) = signals.next().await {
+        if matches!(signal, Signal::Hup) {
+            continue;
+        }
+        let mut out = ControlOutput::default();
+        state.control.borrow_mut().begin_stop(clock::now_ms(), &mut out);
+        state.carry_out(out);
+    }
+}
+
+// Only blobs of the settings in force are kept, so that memory does not grow with edits.
+fn retain_used(root: &Root, tree: &Tree, blobs: &mut Blobs) {
+    let used: Vec<Digest> = settings::pack(tree).blobs.into_keys().collect();
+    blobs.retain(|digest, _| {
+        used.binary_search(digest).is_ok() || root.groups.values().any(|group| group == digest)
+    });
+}
--- /dev/null
+++ b/crates/wagtailstalld/src/local_settings.rs
@@ -0,0 +1,87 @@
+//! The file that tells a host who it is.
+
+use std::{fs, net::SocketAddr, path::Path};
+
+use eyre::{Result, WrapErr, bail};
+use host::HostConfig;
+use serde::Deserialize;
+use settings::name_seed;
+use wire::PeerKey;
+
+use crate::clock;
+
+/// The local settings of one host.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct LocalSettings {
+    /// The host's name, for logs.
+    pub(crate) host: String,
+    /// The address that packets arrive on, IP in UDP.
+    pub(crate) data_address: SocketAddr,
+    /// The address that other hosts use, over UDP and TCP.
+    pub(crate) peer_address: SocketAddr,
+    /// The address of the operators' pages; keep it local.
+    pub(crate) admin_address: SocketAddr,
+    /// Where packets are sent to, and where this host announces itself.
+    pub(crate) fabric_address: SocketAddr,
+    /// The failure domain.
+    pub(crate) failure_domain: String,
+    /// The rack.
+    #[serde(default)]
+    pub(crate) rack: String,
+    /// The addresses of the platform's store.
+    pub(crate) store_addresses: Vec<SocketAddr>,
+    /// Peer addresses of hosts to ask before the platform's list is there.
+    #[serde(default)]
+    pub(crate) seed_addresses: Vec<SocketAddr>,
+    /// The secret that all hosts share: 32 hexadecimal digits.
+    pub(crate) peer_key: String,
+    /// The budget for copies of pins, in bytes a second.
+    #[serde(default = "default_transfer_bytes_per_s")]
+    pub(crate) transfer_bytes_per_s: u64,
+}
+
+fn default_transfer_bytes_per_s() -> u64 {
+    HostConfig::default().transfer_bytes_per_s
+}
+
+impl LocalSettings {
+    /// Reads and checks the file at `path`.
+    pub(crate) fn read(path: &Path) -> Result<LocalSettings> {
+        let text = fs::read_to_string(path)
+            .wrap_err_with(|| format!("121: {} cannot be read", path.display()))?;
+        let settings: LocalSettings = serde_json::from_str(&text)
+            .wrap_err_with(|| format!("122: {} is not valid", path.display()))?;
+        settings.key().wrap_err_with(|| format!("123: /peer_key in {}", path.display()))?;
+        if settings.failure_domain.is_empty() {
+            bail!("124: /failure_domain in {} is empty", path.display());
+        }
+        Ok(settings)
+    }
+
+    /// The settings in the form that the core takes.
+    pub(crate) fn host_config(&self) -> Result<HostConfig> {
+        Ok(HostConfig {
+            peer_address: self.peer_address,
+            domain_seed: name_seed(&self.failure_domain),
+            rack_seed: name_seed(&self.rack),
+            peer_key: self.key()?,
+            incarnation: clock::now_ms(),
+            transfer_bytes_per_s: self.transfer_bytes_per_s,
+            ..HostConfig::default()
+        })
+    }
+
+    fn key(&self) -> Result<PeerKey> {
+        let digits = self.peer_key.as_bytes();
+        if digits.len() != 32 {
+            bail!("the key has {} characters, not 32 hexadecimal digits", digits.len());
+        }
+        let mut key = [0; 16];
+        for (byte, pair) in key.iter_mut().zip(digits.chunks_exact(2)) {
+            let text = std::str::from_utf8(pair).wrap_err("the key is not hexadecimal")?;
+            *byte = u8::from_str_radix(text, 16).wrap_err("the key is not hexadecimal")?;
+        }
+        Ok(PeerKey(key))
+    }
+}
--- a/crates/wagtailstalld/src/main.rs
+++ b/crates/wagtailstalld/src/main.rs
@@ -1,1 +1,75 @@
-fn main() {}
+//! The host daemon: sockets, clocks and threads around the decisions of the `host` crate.
+//!
+//! One thread carries traffic. One thread holds control state: membership, settings, the store, the
+//! peers' questions and the operators' pages. They share one immutable view and two channels.
+
+mod admin;
+mod announce;
+mod clock;
+mod control_thread;
+mod local_settings;
+mod peer_rpc;
+mod shared;
+mod store_task;
+mod traffic_thread;
+
+use std::{path::PathBuf, process::ExitCode, thread};
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr, eyre};
+use log::LevelFilter;
+
+use crate::{local_settings::LocalSettings, shared::Shared};
+
+/// wagtailstalld, the host daemon of the wagtailstall load balancer.
+///
+/// SIGTERM and SIGINT start a planned stop: the host hands its flows over and exits with 0. SIGHUP
+/// is ignored, since settings are followed all the time.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "wagtailstalld --settings /etc/wagtailstall/host.json",
+    example = "wagtailstalld --settings host.json --check"
+)]
+struct Arguments {
+    /// the JSON file with this host's addresses, failure domain and rack
+    #[argh(option)]
+    settings: PathBuf,
+    /// only check the file and print what is in it
+    #[argh(switch)]
+    check: bool,
+    /// how much to log: error, warn, info, debug or trace
+    #[argh(option, default = "LevelFilter::Info")]
+    log_level: LevelFilter,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wagtailstalld: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<()> {
+    let settings = LocalSettings::read(&arguments.settings)?;
+    if arguments.check {
+        println!("{settings:#?}");
+        return Ok(());
+    }
+    telemetry::init(&settings.host, arguments.log_level)?;
+    let shared = Shared::new(settings)?;
+    let traffic = {
+        let shared = shared.clone();
+        thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn(move || traffic_thread::run(&shared))
+            .wrap_err("the traffic thread cannot be started")?
+    };
+    let result = control_thread::run(&shared);
+    shared.request_exit();
+    traffic.join().map_err(|_| eyre!("the traffic thread failed"))??;
+    result
+}
--- /dev/null
+++ b/crates/wagtailstalld/src/shared.rs
@@ -0,0 +1,106 @@
+//! What the two threads share.
+
+use std::{
+    net::{IpAddr, UdpSocket},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use eyre::{Result, WrapErr};
+use flow::FlowKey;
+use host::{Counters, FlowReport, HostConfig, TrafficEvent, View};
+use smol::channel::{Receiver, Sender, bounded};
+use socket2::{Domain, Protocol, Socket, Type};
+use telemetry::Metrics;
+
+use crate::local_settings::LocalSettings;
+
+/// How many events may wait between the threads.
+const CHANNEL_EVENTS: usize = 8192;
+
+/// How much the kernel may queue for a socket, in bytes.
+const SOCKET_BUFFER_BYTES: usize = 4 << 20;
+
+/// A question of an operator that only the traffic thread can answer.
+#[derive(Debug)]
+pub(crate) struct Question {
+    pub(crate) key: FlowKey,
+    pub(crate) answer: Sender<Option<FlowReport>>,
+}
+
+/// What the traffic thread publishes about itself.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct TrafficStatus {
+    pub(crate) counters: Counters,
+    pub(crate) pins: usize,
+    pub(crate) pin_memory_bytes: usize,
+    pub(crate) waiting: usize,
+    pub(crate) usage: Vec<(IpAddr, admission_usage::Usage)>,
+}
+
+/// The occupation of targets, as the core reports it.
+pub(crate) mod admission_usage {
+    /// Requests and flows of one target.
+    #[derive(Debug, Clone, Copy)]
+    pub(crate) struct Usage {
+        pub(crate) requests: u32,
+        pub(crate) flows: u32,
+    }
+}
+
+/// What the two threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: LocalSettings,
+    pub(crate) config: HostConfig,
+    pub(crate) data: UdpSocket,
+    pub(crate) peer: UdpSocket,
+    pub(crate) view: ArcSwapOption<View>,
+    pub(crate) events: (Sender<TrafficEvent>, Receiver<TrafficEvent>),
+    pub(crate) questions: (Sender<Question>, Receiver<Question>),
+    pub(crate) status: Arc<Mutex<TrafficStatus>>,
+    pub(crate) metrics: Metrics,
+    is_exiting: AtomicBool,
+}
+
+impl Shared {
+    /// Opens the sockets of the host that `settings` describes.
+    pub(crate) fn new(settings: LocalSettings) -> Result<Arc<Shared>> {
+        Ok(Arc::new(Shared {
+            config: settings.host_config()?,
+            data: open_socket(settings.data_address).wrap_err("131: /data_address")?,
+            peer: open_socket(settings.peer_address).wrap_err("131: /peer_address")?,
+            settings,
+            view: ArcSwapOption::empty(),
+            events: bounded(CHANNEL_EVENTS),
+            questions: bounded(CHANNEL_EVENTS),
+            status: Arc::default(),
+            metrics: Metrics::new()?,
+            is_exiting: AtomicBool::new(false),
+        }))
+    }
+
+    /// Tells the traffic thread to end.
+    pub(crate) fn request_exit(&self) {
+        self.is_exiting.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the traffic thread has to end.
+    pub(crate) fn is_exiting(&self) -> bool {
+        self.is_exiting.load(Ordering::Relaxed)
+    }
+}
+
+fn open_socket(address: std::net::SocketAddr) -> Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))
+        .wrap_err("no socket can be opened")?;
+    // The kernel may grant less; a smaller buffer only loses packets under bursts.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+    socket.set_nonblocking(true).wrap_err("the socket cannot be made non-blocking")?;
+    socket.bind(&address.into()).wrap_err_with(|| format!("{address} cannot be bound"))?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/wagtailstalld/src/traffic_thread.rs
@@ -0,0 +1,204 @@
+//! The thread that carries traffic.
+
+use std::{
+    io::{self, ErrorKind},
+    net::UdpSocket,
+    sync::Arc,
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr};
+use futures_lite::FutureExt;
+use host::{Destination, Outbox, Traffic, TrafficEvent, View};
+use smol::{Async, Timer};
+use telemetry::{Event, Histogram};
+
+use crate::{
+    clock,
+    shared::{Shared, TrafficStatus, admission_usage::Usage},
+};
+
+/// How many packets are taken from a socket before the other gets its turn.
+const BATCH_PACKETS: usize = 128;
+
+/// The largest datagram, in bytes.
+const DATAGRAM_BYTES: usize = 65_535;
+
+/// How long to sleep when nothing arrives, in milliseconds.
+const IDLE_MS: u64 = 10;
+
+/// How often the status is published, in milliseconds.
+const STATUS_MS: u64 = 200;
+
+/// Runs until the process exits.
+pub(crate) fn run(shared: &Arc<Shared>) -> Result<()> {
+    let data = Async::new_nonblocking(shared.data.try_clone()?).wrap_err("data socket")?;
+    let peer = Async::new_nonblocking(shared.peer.try_clone()?).wrap_err("peer socket")?;
+    let mut worker = Worker {
+        shared: shared.clone(),
+        traffic: Traffic::new(shared.config.clone(), clock::now_ms()),
+        view: None,
+        out: Outbox::default(),
+        buffer: vec![0; DATAGRAM_BYTES],
+        opening_wait: shared.metrics.histogram("opening_wait"),
+        flow_duration: shared.metrics.histogram("flow_duration"),
+        refused: shared.metrics.histogram("refusal_code"),
+        next_status_ms: 0,
+    };
+    smol::block_on(async {
+        while !shared.is_exiting() {
+            let idle = async {
+                Timer::after(Duration::from_millis(IDLE_MS)).await;
+                Ok(())
+            };
+            data.readable().or(peer.readable()).or(idle).await?;
+            worker.turn()?;
+        }
+        Ok(())
+    })
+}
+
+struct Worker {
+    shared: Arc<Shared>,
+    traffic: Traffic,
+    view: Option<Arc<View>>,
+    out: Outbox,
+    buffer: Vec<u8>,
+    opening_wait: Histogram,
+    flow_duration: Histogram,
+    refused: Histogram,
+    next_status_ms: u64,
+}
+
+impl Worker {
+    fn turn(&mut self) -> Result<()> {
+        self.take_view();
+        for _ in 0..BATCH_PACKETS {
+            let received = self.shared.data.recv_from(&mut self.buffer);
+            let Some((length, _)) = none_if_blocked(received)? else { break };
+            let packet = &mut self.buffer[..length];
+            self.traffic.on_fabric(packet, clock::now_ms(), &mut self.out);
+        }
+        for _ in 0..BATCH_PACKETS {
+            let received = self.shared.peer.recv_from(&mut self.buffer);
+            let Some((length, from)) = none_if_blocked(received)? else { break };
+            let datagram = &mut self.buffer[..length];
+            self.traffic.on_peer(from, datagram, clock::now_ms(), &mut self.out);
+        }
+        self.traffic.on_tick(clock::now_ms(), &mut self.out);
+        self.answer_questions();
+        self.flush();
+        self.publish_status();
+        Ok(())
+    }
+
+    fn take_view(&mut self) {
+        let published = self.shared.view.load_full();
+        let is_same = match (&self.view, &published) {
+            (Some(ours), Some(theirs)) => Arc::ptr_eq(ours, theirs),
+            (_, None) => true,
+            (None, Some(_)) => false,
+        };
+        if is_same {
+            return;
+        }
+        if let Some(view) = published {
+            self.view = Some(view.clone());
+            self.traffic.on_view(view, clock::now_ms(), &mut self.out);
+        }
+    }
+
+    fn answer_questions(&mut self) {
+        while let Ok(question) = self.shared.questions.1.try_recv() {
+            // The operator may have hung up.
+            let _ = question.answer.try_send(self.traffic.explain(&question.key));
+        }
+    }
+
+    fn flush(&mut self) {
+        for (destination, bytes) in self.out.datagrams() {
+            let sent = match destination {
+                Destination::Fabric => {
+                    self.shared.data.send_to(bytes, self.shared.settings.fabric_address)
+                }
+                Destination::Peer(address) => self.shared.peer.send_to(bytes, address),
+            };
+            note_failure(sent, &self.shared.data);
+        }
+        for event in std::mem::take(&mut self.out.events) {
+            self.handle(event);
+        }
+        self.out.clear();
+    }
+
+    fn handle(&self, event: TrafficEvent) {
+        match event {
+            TrafficEvent::Opened { listener_key, waited_ms } => {
+                self.record(&self.opening_wait, listener_key, waited_ms);
+            }
+            TrafficEvent::Closed { listener_key, open_ms } => {
+                self.record(&self.flow_duration, listener_key, open_ms);
+            }
+            TrafficEvent::Refused { listener_key, code } => {
+                self.record(&self.refused, listener_key, u64::from(code));
+            }
+            event => {
+                // Control messages are repeated by their senders, so a full channel loses nothing.
+                let _ = self.shared.events.0.try_send(event);
+            }
+        }
+    }
+
+    fn record(&self, histogram: &Histogram, listener_key: u32, value: u64) {
+        let Some(view) = &self.view else { return };
+        let Some(listener) = view.settings.find_key(listener_key) else { return };
+        let service = &view.settings.service(listener.service).name;
+        histogram.record(value, service, &listener.name);
+    }
+
+    fn publish_status(&mut self) {
+        let now_ms = clock::now_ms();
+        if now_ms < self.next_status_ms {
+            return;
+        }
+        self.next_status_ms = now_ms + STATUS_MS;
+        let usage = self.traffic.usage().into_iter();
+        let status = TrafficStatus {
+            counters: *self.traffic.counters(),
+            pins: self.traffic.pin_count(),
+            pin_memory_bytes: self.traffic.pin_memory_bytes(),
+            waiting: self.traffic.waiting(),
+            usage: usage
+                .map(|(target, usage)| {
+                    (target, Usage { requests: usage.requests, flows: usage.flows })
+                })
+                .collect(),
+        };
+        if let Ok(mut shared) = self.shared.status.lock() {
+            *shared = status;
+        }
+    }
+}
+
+fn none_if_blocked<T>(received: io::Result<T>) -> Result<Option<T>> {
+    match received {
+        Ok(value) => Ok(Some(value)),
+        // A refused connection is the echo of an earlier datagram to a host that is gone.
+        Err(error)
+            if matches!(
+                error.kind(),
+                ErrorKind::WouldBlock | ErrorKind::ConnectionRefused | ErrorKind::Interrupted
+            ) =>
+        {
+            Ok(None)
+        }
+        Err(error) => Err(error).wrap_err("a socket cannot be read"),
+    }
+}
+
+fn note_failure(sent: io::Result<usize>, _socket: &UdpSocket) {
+    let Err(error) = sent else { return };
+    if error.kind() != ErrorKind::ConnectionRefused {
+        telemetry::emit(Event::SendFailed, &[("cause", &error)]);
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/bed.rs
@@ -0,0 +1,243 @@
+//! A whole deployment on loopback: platform, fabric, hosts, upstreams and callers.
+
+use std::{
+    fs,
+    net::{TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use eyre::{Result, WrapErr, bail, ensure};
+use serde_json::{Value, json};
+use stand_ins::{caller, upstream};
+
+use crate::processes::Processes;
+
+/// The key that the hosts of a bed share.
+const PEER_KEY: &str = "5ca1ab1e0ddba11a7c0ffee5eedf00d5";
+
+/// How long hosts may take to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// What a bed is made of.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    /// The tree of settings.
+    pub(crate) tree: PathBuf,
+    /// Hosts in each failure domain.
+    pub(crate) hosts_per_domain: usize,
+    /// The seed of fabric and callers.
+    pub(crate) seed: u64,
+    /// Further arguments of the fabric.
+    pub(crate) fabric: Vec<String>,
+}
+
+/// One host of a bed.
+#[derive(Debug, Clone)]
+pub(crate) struct Host {
+    pub(crate) name: String,
+    pub(crate) admin_port: u16,
+    settings: PathBuf,
+}
+
+/// A deployment on loopback.
+#[derive(Debug)]
+pub(crate) struct Bed {
+    pub(crate) processes: Processes,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) store_port: u16,
+    fabric_port: u16,
+    upstreams: Vec<String>,
+    plan: Plan,
+}
+
+impl Bed {
+    /// Starts everything but the callers, and waits until every host is ready.
+    pub(crate) fn start(plan: &Plan) -> Result<Bed> {
+        let processes = Processes::new()?;
+        let mut bed = Bed {
+            processes,
+            hosts: Vec::new(),
+            store_port: free_port()?,
+            fabric_port: free_port()?,
+            upstreams: Vec::new(),
+            plan: plan.clone(),
+        };
+        bed.start_platform()?;
+        bed.start_fabric()?;
+        bed.start_upstreams()?;
+        bed.start_hosts()?;
+        bed.wait_until_ready()?;
+        Ok(bed)
+    }
+
+    /// Starts the callers under `name`.
+    pub(crate) fn start_callers(&mut self, name: &str, arguments: &[String]) -> Result<()> {
+        let mut all = strings(&["caller", "--fabric", &local(self.fabric_port), "--tree"]);
+        all.push(self.plan.tree.display().to_string());
+        all.extend(strings(&["--seed", &self.plan.seed.to_string()]));
+        all.extend_from_slice(arguments);
+        self.processes.start(name, "stand-ins", &all)
+    }
+
+    /// Waits for the callers `name` and gives what they saw.
+    pub(crate) fn finish_callers(&mut self, name: &str) -> Result<caller::Report> {
+        let (code, text) = self.processes.wait(name, Duration::from_secs(120))?;
+        ensure!(code == Some(0), "the callers failed; see target/logs/{name}.log");
+        serde_json::from_str(&text).wrap_err("the report of the callers")
+    }
+
+    /// Ends the upstreams and gives what they did.
+    pub(crate) fn finish_upstreams(&mut self) -> Result<Vec<upstream::Report>> {
+        let mut reports = Vec::new();
+        for name in std::mem::take(&mut self.upstreams) {
+            let (_, text) = self.processes.stop(&name)?;
+            reports.push(serde_json::from_str(&text).wrap_err("the report of an upstream")?);
+        }
+        Ok(reports)
+    }
+
+    /// Runs the operators' command with JSON output.
+    pub(crate) fn operate(&self, arguments: &[String]) -> Result<Value> {
+        let mut all = strings(&["--store", &local(self.store_port), "--json"]);
+        for host in &self.hosts {
+            all.extend(strings(&["--admin", &local(host.admin_port)]));
+        }
+        all.extend_from_slice(arguments);
+        let output = self.processes.run("wagtailstall", &all)?;
+        if !output.status.success() {
+            bail!("wagtailstall {arguments:?}: {}", String::from_utf8_lossy(&output.stderr));
+        }
+        serde_json::from_slice(&output.stdout).wrap_err("the answer of wagtailstall")
+    }
+
+    /// Starts the host `host`, again if it ran before.
+    pub(crate) fn start_host(&mut self, host: &Host) -> Result<()> {
+        let arguments = strings(&["--settings", &host.settings.display().to_string()]);
+        self.processes.start(&host.name, "wagtailstalld", &arguments)
+    }
+
+    /// Waits until every host that answers is ready and knows the others.
+    pub(crate) fn wait_until_ready(&self) -> Result<()> {
+        let deadline = Instant::now() + READY_WITHIN;
+        while Instant::now() < deadline {
+            let status = self.operate(&strings(&["status"]))?;
+            let rows = status.as_array().map_or(&[][..], Vec::as_slice);
+            let is_ready = |row: &Value| row["stage"] == "Ready" && row["revision"] != 0;
+            let knows_all = |row: &Value| {
+                let members = row["members"].as_array().map_or(&[][..], Vec::as_slice);
+                let ready = members.iter().filter(|member| member["state"] == "Ready");
+                ready.count() >= self.hosts.len()
+            };
+            if rows.len() == self.hosts.len()
+                && rows.iter().all(|row| is_ready(row) && knows_all(row))
+            {
+                return Ok(());
+            }
+            self.processes.sleep(Duration::from_millis(100))?;
+        }
+        bail!("the hosts were not ready within {READY_WITHIN:?}; see target/logs")
+    }
+
+    fn start_platform(&mut self) -> Result<()> {
+        let arguments = strings(&["platform", "--listen", &local(self.store_port)]);
+        self.processes.start("platform", "stand-ins", &arguments)?;
+        let tree = self.plan.tree.display().to_string();
+        let apply = strings(&["apply", &tree, "--base", "0", "--note", "first tree"]);
+        let deadline = Instant::now() + Duration::from_secs(5);
+        loop {
+            match self.operate(&apply) {
+                Ok(_) => return Ok(()),
+                Err(error) if Instant::now() > deadline => return Err(error),
+                Err(_) => self.processes.sleep(Duration::from_millis(50))?,
+            }
+        }
+    }
+
+    fn start_fabric(&mut self) -> Result<()> {
+        let tree = self.plan.tree.display().to_string();
+        let seed = self.plan.seed.to_string();
+        let mut arguments = strings(&["fabric", "--listen", &local(self.fabric_port)]);
+        arguments.extend(strings(&["--tree", &tree, "--seed", &seed]));
+        arguments.extend_from_slice(&self.plan.fabric);
+        self.processes.start("fabric", "stand-ins", &arguments)
+    }
+
+    fn start_upstreams(&mut self) -> Result<()> {
+        let tree = read_tree(&self.plan.tree)?;
+        for (service, node) in object(&tree["services"]) {
+            for (upstream, _) in object(&node["upstreams"]) {
+                let name = format!("upstream-{service}-{upstream}");
+                let fabric = local(self.fabric_port);
+                let path = self.plan.tree.display().to_string();
+                let mut arguments = strings(&["upstream", "--fabric", &fabric, "--tree", &path]);
+                arguments.extend(strings(&["--service", service, "--upstream", upstream]));
+                self.processes.start(&name, "stand-ins", &arguments)?;
+                self.upstreams.push(name);
+            }
+        }
+        Ok(())
+    }
+
+    fn start_hosts(&mut self) -> Result<()> {
+        let tree = read_tree(&self.plan.tree)?;
+        let directory = Path::new("target/bed");
+        fs::create_dir_all(directory)?;
+        let mut seeds: Vec<String> = Vec::new();
+        for (domain, _) in object(&tree["failure_domains"]) {
+            for number in 1..=self.plan.hosts_per_domain {
+                let name = format!("host-{domain}-{number}");
+                let peer = local(free_port()?);
+                let admin_port = free_port()?;
+                let settings = directory.join(format!("{name}.json"));
+                let text = json!({
+                    "host": name,
+                    "data_address": local(free_port()?),
+                    "peer_address": peer,
+                    "admin_address": local(admin_port),
+                    "fabric_address": local(self.fabric_port),
+                    "failure_domain": domain,
+                    "rack": format!("{domain}-rack-{}", number % 2),
+                    "store_addresses": [local(self.store_port)],
+                    "seed_addresses": seeds,
+                    "peer_key": PEER_KEY,
+                });
+                fs::write(&settings, text.to_string())?;
+                seeds.push(peer);
+                let host = Host { name, admin_port, settings };
+                self.start_host(&host)?;
+                self.hosts.push(host);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Owned strings of `texts`.
+pub(crate) fn strings(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
+
+fn read_tree(path: &Path) -> Result<Value> {
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("{}", path.display()))?;
+    serde_json::from_str(&text).wrap_err_with(|| format!("{}", path.display()))
+}
+
+fn object(value: &Value) -> impl Iterator<Item = (&String, &Value)> {
+    value.as_object().into_iter().flatten()
+}
+
+fn local(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
+// A port that is free for both TCP and UDP at this moment.
+fn free_port() -> Result<u16> {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let port = listener.local_addr()?.port();
+        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/demo.rs
@@ -0,0 +1,181 @@
+//! The demonstration: real processes, an edit, a planned stop and a kill under load.
+
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
+
+use argh::FromArgs;
+use eyre::{Result, bail};
+use serde::Serialize;
+use serde_json::Value;
+use stand_ins::{caller, upstream};
+
+use crate::bed::{Bed, Plan, strings};
+
+/// run the whole system on loopback, under load and changes, and check what it promises
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct Options {
+    /// seed of spraying and arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// hosts in each failure domain
+    #[argh(option, default = "3")]
+    hosts: usize,
+    /// the tree of settings
+    #[argh(option, default = "PathBuf::from(\"examples/agency.json\")")]
+    tree: PathBuf,
+    /// how long callers make requests, in seconds
+    #[argh(option, default = "14")]
+    run_s: u64,
+}
+
+/// The result, printed as the last line.
+#[derive(Debug, Serialize)]
+struct Summary {
+    requests: u64,
+    completed: u64,
+    refused: u64,
+    sessions: u64,
+    broken_flows: u64,
+    misdelivered: u64,
+    ran_twice: u64,
+    refused_but_run: u64,
+    imbalance: f64,
+    settings_in_force_ms: u64,
+    planned_stop_exit_code: i32,
+}
+
+/// Runs the demonstration.
+pub(crate) fn run(options: &Options) -> Result<()> {
+    println!("building and starting (logs are in target/logs)");
+    let plan = Plan {
+        tree: options.tree.clone(),
+        hosts_per_domain: options.hosts,
+        seed: options.seed,
+        fabric: Vec::new(),
+    };
+    let mut bed = Bed::start(&plan)?;
+    println!("{} hosts are ready", bed.hosts.len());
+    let run_ms = (options.run_s * 1000).to_string();
+    bed.start_callers("callers", &strings(&["--run-ms", &run_ms]))?;
+    let quarter = Duration::from_millis(options.run_s * 250);
+
+    bed.processes.sleep(quarter)?;
+    let target = first_target(&plan.tree)?;
+    println!("draining target {target}");
+    let accepted = bed.operate(&strings(&["drain", &target, "--wait"]))?;
+    let settings_in_force_ms = accepted["in_force_ms"].as_u64().unwrap_or(u64::MAX);
+    println!("  in force on every host after {settings_in_force_ms} ms");
+
+    bed.processes.sleep(quarter / 2)?;
+    let stopped = bed.hosts.remove(1);
+    println!("stopping host {} as planned", stopped.name);
+    let (code, _) = bed.processes.stop(&stopped.name)?;
+    println!("  it exited with {code:?}");
+
+    let killed = bed.hosts.remove(bed.hosts.len() - 1);
+    println!("killing host {}", killed.name);
+    bed.processes.signal(&killed.name, "KILL")?;
+    bed.processes.sleep(quarter / 2)?;
+
+    let imbalance = imbalance(&bed.operate(&strings(&["status"]))?);
+    let seen = bed.finish_callers("callers")?;
+    let done = bed.finish_upstreams()?;
+    let summary = Summary {
+        settings_in_force_ms,
+        imbalance,
+        planned_stop_exit_code: code.unwrap_or(-1),
+        ..summarize(&seen, &done)
+    };
+    print_table(&summary)?;
+    println!("{}", serde_json::to_string(&summary)?);
+    judge(&summary)
+}
+
+fn summarize(seen: &caller::Report, done: &[upstream::Report]) -> Summary {
+    let mut runs: BTreeMap<u64, u32> = BTreeMap::new();
+    for report in done {
+        for (id, count) in &report.runs {
+            *runs.entry(*id).or_default() += count;
+        }
+    }
+    let misdelivered: u64 = done.iter().map(|report| report.misdelivered).sum();
+    let refused_but_run = seen.refused_ids.iter().filter(|id| runs.contains_key(id)).count();
+    Summary {
+        requests: seen.requests,
+        completed: seen.completed,
+        refused: seen.refused,
+        sessions: seen.sessions,
+        broken_flows: seen.broken_flows,
+        misdelivered: seen.misdelivered + misdelivered,
+        ran_twice: runs.values().filter(|count| **count > 1).count() as u64,
+        refused_but_run: refused_but_run as u64,
+        imbalance: 0.0,
+        settings_in_force_ms: 0,
+        planned_stop_exit_code: -1,
+    }
+}
+
+/// The largest number of flows of a target over the mean, among the targets that hold most.
+fn imbalance(status: &Value) -> f64 {
+    let mut flows: BTreeMap<String, u64> = BTreeMap::new();
+    for host in status.as_array().into_iter().flatten() {
+        for usage in host["usage"].as_array().into_iter().flatten() {
+            let target = usage["target"].as_str().unwrap_or_default().to_owned();
+            *flows.entry(target).or_default() += usage["flows"].as_u64().unwrap_or(0);
+        }
+    }
+    // The second octet names the service in the example trees.
+    let service = |target: &String| target.split('.').nth(1).unwrap_or_default().to_owned();
+    let mut by_service: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for (target, count) in &flows {
+        by_service.entry(service(target)).or_default().push(*count);
+    }
+    let busiest = by_service.values().max_by_key(|counts| counts.iter().sum::<u64>());
+    let Some(counts) = busiest else { return 0.0 };
+    let total: u64 = counts.iter().sum();
+    let largest = counts.iter().max().copied().unwrap_or(0);
+    if total == 0 { 0.0 } else { largest as f64 * counts.len() as f64 / total as f64 }
+}
+
+fn first_target(tree: &std::path::Path) -> Result<String> {
+    let value: Value = serde_json::from_str(&std::fs::read_to_string(tree)?)?;
+    let first = |value: &Value| value.as_object().and_then(|fields| fields.keys().next().cloned());
+    let services = value["services"].as_object().into_iter().flatten();
+    for (service, node) in services {
+        let Some(upstream) = first(&node["upstreams"]) else { continue };
+        let Some(target) = first(&node["upstreams"][&upstream]["targets"]) else { continue };
+        let is_large = node["upstreams"][&upstream]["targets"]
+            .as_object()
+            .is_some_and(|targets| targets.len() > 2);
+        if is_large {
+            return Ok(format!("{service}/{upstream}/{target}"));
+        }
+    }
+    bail!("the tree has no upstream with three targets")
+}
+
+fn print_table(summary: &Summary) -> Result<()> {
+    let Value::Object(fields) = serde_json::to_value(summary)? else { return Ok(()) };
+    for (name, value) in fields {
+        println!("{name:24} {value}");
+    }
+    Ok(())
+}
+
+fn judge(summary: &Summary) -> Result<()> {
+    let broken = [
+        (summary.broken_flows > 0, "flows broke"),
+        (summary.misdelivered > 0, "packets reached another service or wrong answers came"),
+        (summary.ran_twice > 0, "requests ran twice"),
+        (summary.refused_but_run > 0, "refused requests ran"),
+        (summary.completed + summary.refused != summary.requests, "requests are unaccounted for"),
+        (summary.settings_in_force_ms > 2_000, "the edit took more than 2 s"),
+        (summary.planned_stop_exit_code != 0, "the planned stop did not end with 0"),
+    ];
+    let causes: Vec<&str> =
+        broken.iter().filter(|(is_broken, _)| *is_broken).map(|(_, cause)| *cause).collect();
+    if causes.is_empty() {
+        return Ok(());
+    }
+    bail!("promises were broken: {}", causes.join("; "))
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,1 +1,47 @@
-fn main() {}
+//! Tasks of the project: the demonstration, the tests and code generation. Not shipped.
+
+mod bed;
+mod codegen;
+mod demo;
+mod processes;
+mod test;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use eyre::Result;
+
+/// Tasks of the wagtailstall project.
+#[derive(Debug, FromArgs)]
+#[argh(example = "cargo xtask demo --seed 7", example = "cargo xtask test")]
+struct Arguments {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Demo(demo::Options),
+    Test(test::Options),
+    Codegen(codegen::Options),
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments.task) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("xtask: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(task: &Task) -> Result<()> {
+    match task {
+        Task::Demo(options) => demo::run(options),
+        Task::Test(options) => test::run(options),
+        Task::Codegen(options) => codegen::run(options),
+    }
+}
