Spray what upstreams send over the hosts too

Cause: the fabric stand-in routed packets by destination whoever sent them, so a target's answer went to the caller past the hosts and kept the target's address.

--- a/crates/stand-ins/src/fabric.rs
+++ b/crates/stand-ins/src/fabric.rs
@@ -1,10 +1,9 @@
-//! The fabric: it hands each packet for a service address to any live host, and routes all others.
+//! The fabric: it hands each packet of a caller or an upstream to any live host, and routes what
+//! hosts send.
 
 use std::{
-    collections::BTreeMap,
-    fs,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr, UdpSocket},
-    path::PathBuf,
     sync::{Arc, atomic::AtomicBool, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -12,7 +11,6 @@
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use settings::Tree;
 
 use crate::wire;
 
@@ -26,9 +24,6 @@
     /// address to listen on
     #[argh(option)]
     listen: SocketAddr,
-    /// the tree of settings, for the service addresses
-    #[argh(option)]
-    tree: PathBuf,
     /// seed of the spraying
     #[argh(option, default = "1")]
     seed: u64,
@@ -46,7 +41,7 @@
 struct Fabric<'a> {
     options: &'a Options,
     socket: UdpSocket,
-    service_addresses: Vec<IpAddr>,
+    known_hosts: BTreeSet<SocketAddr>,
     hosts: BTreeMap<SocketAddr, Instant>,
     endpoints: BTreeMap<IpAddr, SocketAddr>,
     rng: StdRng,
@@ -57,16 +52,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the tree cannot be read or the address cannot be bound.
+/// Fails if the address cannot be bound.
 pub fn run(options: &Options) -> Result<()> {
-    let tree: Tree = serde_json::from_str(&fs::read_to_string(&options.tree)?)?;
-    let mut service_addresses: Vec<IpAddr> = tree
-        .services
-        .values()
-        .flat_map(|service| service.listeners.values())
-        .map(|listener| listener.address)
-        .collect();
-    service_addresses.sort_unstable();
     let socket = UdpSocket::bind(options.listen).wrap_err("the address cannot be bound")?;
     socket.set_read_timeout(Some(Duration::from_millis(5)))?;
     let is_ended = Arc::new(AtomicBool::new(false));
@@ -74,7 +61,7 @@
     let mut fabric = Fabric {
         options,
         socket,
-        service_addresses,
+        known_hosts: BTreeSet::new(),
         hosts: BTreeMap::new(),
         endpoints: BTreeMap::new(),
         rng: StdRng::seed_from_u64(options.seed),
@@ -95,22 +82,23 @@
         if datagram.first() == Some(&wire::GUE_CONTROL) {
             return self.handle_control(datagram, from);
         }
-        let Some(destination) = wire::destination(datagram) else { return };
-        if self.service_addresses.binary_search(&destination).is_ok() {
+        // What a caller or an upstream sends goes to any host; what a host sends goes where it says.
+        if !self.known_hosts.contains(&from) {
             if let Some(host) = self.pick_host() {
                 self.send(datagram, host);
             }
             return;
         }
+        let Some(destination) = wire::destination(datagram) else { return };
         if let Some(endpoint) = self.endpoints.get(&destination).copied() {
             self.send(datagram, endpoint);
-            return;
         }
     }
 
     fn handle_control(&mut self, message: &[u8], from: SocketAddr) {
         match message.get(1).copied() {
             Some(wire::TAKES_PACKETS) => {
+                self.known_hosts.insert(from);
                 self.hosts.insert(from, Instant::now());
             }
             Some(wire::WITHDRAWN) => {
--- a/crates/xtask/src/bed.rs
+++ b/crates/xtask/src/bed.rs
@@ -155,10 +155,9 @@
     }
 
     fn start_fabric(&mut self) -> Result<()> {
-        let tree = self.plan.tree.display().to_string();
         let seed = self.plan.seed.to_string();
         let mut arguments = strings(&["fabric", "--listen", &local(self.fabric_port)]);
-        arguments.extend(strings(&["--tree", &tree, "--seed", &seed]));
+        arguments.extend(strings(&["--seed", &seed]));
         arguments.extend_from_slice(&self.plan.fabric);
         self.processes.start("fabric", "stand-ins", &arguments)
     }
--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -77,7 +77,9 @@
     bed.processes.signal(&killed.name, "KILL")?;
     bed.processes.sleep(quarter / 2)?;
 
-    let imbalance = imbalance(&bed.operate(&strings(&["status"]))?);
+    let status = bed.operate(&strings(&["status"]))?;
+    std::fs::write("target/bed/status.json", status.to_string())?;
+    let imbalance = imbalance(&status);
     let seen = bed.finish_callers("callers")?;
     let done = bed.finish_upstreams()?;
     let summary = Summary {
