--- /dev/null
+++ b/crates/fakes/src/caller.rs
@@ -0,0 +1,220 @@
+//! A caller that opens one flow and notices when it breaks.
+
+use std::net::SocketAddr;
+
+use flow::PacketView;
+
+use crate::packet::Segment;
+
+/// The first repetition of an unanswered opening, in milliseconds; it doubles.
+const OPENING_REPEAT_MS: u64 = 1_000;
+
+/// The first repetition of unacknowledged data, in milliseconds; it doubles.
+const DATA_REPEAT_MS: u64 = 200;
+
+/// How often something is repeated before the caller gives up.
+const REPEATS_MAX: u32 = 8;
+
+/// How much data a message has, in bytes.
+const MESSAGE_BYTES: usize = 10;
+
+/// What a caller does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerKind {
+    /// It sends a message every so many milliseconds; 0 for never after the first.
+    Session {
+        /// The time between messages, in milliseconds.
+        interval_ms: u64,
+    },
+    /// It sends one message and waits for the answer.
+    Request,
+}
+
+/// How a flow ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole answer came.
+    Completed,
+    /// The opening was refused.
+    Refused,
+    /// The flow was reset after it was open, or nobody answered any more.
+    Broken,
+}
+
+/// A caller with one flow.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) address: SocketAddr,
+    pub(crate) service: SocketAddr,
+    pub(crate) domain: usize,
+    pub(crate) ending: Option<Ending>,
+    pub(crate) opened_at_ms: u64,
+    pub(crate) established_at_ms: Option<u64>,
+    pub(crate) has_sent_data: bool,
+    /// When the flow ended, in milliseconds.
+    pub(crate) ended_at_ms: u64,
+    kind: CallerKind,
+    is_open: bool,
+    sent: u32,
+    acknowledged: u32,
+    received: u32,
+    next_at_ms: u64,
+    repeats: u32,
+}
+
+impl Caller {
+    pub(crate) fn new(
+        address: SocketAddr,
+        service: SocketAddr,
+        domain: usize,
+        kind: CallerKind,
+        now_ms: u64,
+    ) -> Caller {
+        let sequence = u32::from(address.port()).wrapping_mul(0x0101_0101);
+        Caller {
+            address,
+            service,
+            domain,
+            ending: None,
+            opened_at_ms: now_ms,
+            established_at_ms: None,
+            has_sent_data: false,
+            ended_at_ms: 0,
+            kind,
+            is_open: false,
+            sent: sequence,
+            acknowledged: sequence,
+            received: 0,
+            next_at_ms: now_ms,
+            repeats: 0,
+        }
+    }
+
+    /// Sends what is due.
+    pub(crate) fn tick(&mut self, now_ms: u64) -> Vec<Segment> {
+        if self.ending.is_some() || now_ms < self.next_at_ms {
+            return Vec::new();
+        }
+        if self.repeats > REPEATS_MAX {
+            self.end(Ending::Broken, now_ms);
+            return Vec::new();
+        }
+        if !self.is_open {
+            self.next_at_ms = now_ms + (OPENING_REPEAT_MS << self.repeats);
+            self.repeats += 1;
+            return vec![self.segment("S", self.sent, 0)];
+        }
+        let is_acknowledged = self.acknowledged == self.sent;
+        if is_acknowledged && self.has_sent_data && !self.sends_more() {
+            self.next_at_ms = u64::MAX;
+            return Vec::new();
+        }
+        if is_acknowledged {
+            self.sent = self.sent.wrapping_add(MESSAGE_BYTES as u32);
+            self.has_sent_data = true;
+            self.repeats = 0;
+        }
+        self.next_at_ms = now_ms + (DATA_REPEAT_MS << self.repeats);
+        self.repeats += 1;
+        let start = self.sent.wrapping_sub(MESSAGE_BYTES as u32);
+        vec![self.segment("A", start, MESSAGE_BYTES)]
+    }
+
+    /// Handles a packet; gives what is sent.
+    pub(crate) fn receive(&mut self, view: &PacketView, now_ms: u64) -> Vec<Segment> {
+        let Some(tcp) = view.tcp else { return Vec::new() };
+        if self.ending.is_some() {
+            return Vec::new();
+        }
+        if !self.is_open {
+            return self.receive_answer(view, now_ms);
+        }
+        if tcp.flags.rst {
+            if tcp.sequence == self.received {
+                self.end(Ending::Broken, now_ms);
+            }
+            return Vec::new();
+        }
+        if tcp.flags.syn {
+            // A second answer to the opening: say where the flow stands (RFC 5961, 4.2).
+            return vec![self.segment("A", self.sent, 0)];
+        }
+        if tcp.acknowledgement == self.sent && self.acknowledged != self.sent {
+            self.acknowledged = self.sent;
+            self.repeats = 0;
+            self.next_at_ms = match self.kind {
+                CallerKind::Session { interval_ms } if interval_ms > 0 => now_ms + interval_ms,
+                _ => u64::MAX,
+            };
+        }
+        if tcp.sequence != self.received {
+            return Vec::new();
+        }
+        let length = view.payload_len as u32 + u32::from(tcp.flags.fin);
+        self.received = self.received.wrapping_add(length);
+        if tcp.flags.fin {
+            let ending = match self.kind {
+                CallerKind::Request => Ending::Completed,
+                CallerKind::Session { .. } => Ending::Broken,
+            };
+            self.end(ending, now_ms);
+        }
+        if length == 0 { Vec::new() } else { vec![self.segment("A", self.sent, 0)] }
+    }
+
+    /// Sends a message now, whatever the schedule says.
+    pub(crate) fn wake(&mut self, now_ms: u64) {
+        if self.is_open && self.acknowledged == self.sent {
+            self.has_sent_data = false;
+            self.next_at_ms = now_ms;
+            self.repeats = 0;
+        }
+    }
+
+    /// Whether everything that was sent is acknowledged.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.ending.is_none() && self.is_open && self.acknowledged == self.sent
+    }
+
+    fn receive_answer(&mut self, view: &PacketView, now_ms: u64) -> Vec<Segment> {
+        let Some(tcp) = view.tcp else { return Vec::new() };
+        let expected = self.sent.wrapping_add(1);
+        if tcp.flags.rst {
+            if tcp.acknowledgement == expected {
+                self.end(Ending::Refused, now_ms);
+            }
+            return Vec::new();
+        }
+        if !tcp.is_answer() || tcp.acknowledgement != expected {
+            return Vec::new();
+        }
+        self.is_open = true;
+        self.established_at_ms = Some(now_ms);
+        self.sent = expected;
+        self.acknowledged = expected;
+        self.received = tcp.sequence.wrapping_add(1);
+        self.repeats = 0;
+        self.next_at_ms = now_ms + 1;
+        vec![self.segment("A", self.sent, 0)]
+    }
+
+    fn sends_more(&self) -> bool {
+        matches!(self.kind, CallerKind::Session { interval_ms } if interval_ms > 0)
+    }
+
+    fn end(&mut self, ending: Ending, now_ms: u64) {
+        self.ending = Some(ending);
+        self.ended_at_ms = now_ms;
+    }
+
+    fn segment(&self, flags: &'static str, sequence: u32, payload_len: usize) -> Segment {
+        Segment {
+            source: self.address,
+            destination: self.service,
+            flags,
+            sequence,
+            acknowledgement: self.received,
+            payload_len,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small fakes at the interfaces of a host: a local network with injected time and faults, targets
+//! and callers that speak just enough TCP. Not shipped.
+//!
+//! The decisions under test are the real ones. What is faked is the network, the clock, and both
+//! ends of a flow. Runs with one seed are the same every time.
+
+mod caller;
+mod lan;
+mod node;
+mod packet;
+pub mod plane;
+mod target;
+mod trees;
+
+pub use crate::{
+    caller::{CallerKind, Ending},
+    lan::{Faults, Lan, LanConfig, Manner, Report},
+    node::Node,
+    trees::{ServiceSpec, tree},
+};
--- /dev/null
+++ b/crates/fakes/src/node.rs
@@ -0,0 +1,157 @@
+//! One host: the real decisions, joined as the daemon joins them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use host::{Control, ControlOutput, Destination, HostConfig, Outbox, Stage, Traffic, TrafficEvent};
+use routing::HostId;
+use settings::Snapshot;
+use wire::{Frame, FrameKind};
+
+use crate::plane::{Datagram, Plane};
+
+/// A host.
+#[derive(Debug)]
+pub struct Node<P = Traffic> {
+    /// The control side.
+    pub control: Control,
+    /// The packet side.
+    pub plane: P,
+    /// The failure domain's number.
+    pub domain: usize,
+    /// The settings in force.
+    pub settings: Option<Arc<Snapshot>>,
+    /// Bytes of control messages that control sent.
+    pub control_bytes: u64,
+    /// Bytes of packets that went to other hosts.
+    pub relayed_bytes: u64,
+    pub(crate) config: HostConfig,
+    pub(crate) is_running: bool,
+    pub(crate) is_frozen: bool,
+    pub(crate) stopped_at_ms: u64,
+    /// Where newer settings were seen.
+    pub(crate) fetch_from: Option<SocketAddr>,
+}
+
+impl<P: Plane> Node<P> {
+    pub(crate) fn new(config: HostConfig, domain: usize, plane: P, now_ms: u64) -> Node<P> {
+        Node {
+            control: Control::new(config.clone(), membership::Config::default(), now_ms),
+            plane,
+            domain,
+            settings: None,
+            control_bytes: 0,
+            relayed_bytes: 0,
+            config,
+            is_running: true,
+            is_frozen: false,
+            stopped_at_ms: 0,
+            fetch_from: None,
+        }
+    }
+
+    /// Whether the fabric gives packets to this host.
+    pub(crate) fn takes_packets(&self, now_ms: u64) -> bool {
+        const WITHDRAWN_AFTER_MS: u64 = 500;
+        if !self.is_running || self.is_frozen {
+            return now_ms < self.stopped_at_ms + WITHDRAWN_AFTER_MS;
+        }
+        self.control.stage() == Stage::Ready
+    }
+
+    /// Whether the process runs.
+    pub(crate) fn is_active(&self) -> bool {
+        self.is_running && !self.is_frozen
+    }
+
+    pub(crate) fn take_settings(&mut self, settings: &Arc<Snapshot>, now_ms: u64) -> Vec<Datagram> {
+        let mut out = ControlOutput::default();
+        if self.control.on_settings(settings.clone(), now_ms, &mut out) {
+            self.settings = Some(settings.clone());
+        }
+        self.carry_out(out, now_ms)
+    }
+
+    pub(crate) fn begin_stop(&mut self, now_ms: u64) -> Vec<Datagram> {
+        let mut out = ControlOutput::default();
+        self.control.begin_stop(now_ms, &mut out);
+        self.carry_out(out, now_ms)
+    }
+
+    pub(crate) fn on_fabric(&mut self, packet: &mut [u8], now_ms: u64) -> Vec<Datagram> {
+        let mut out = Outbox::default();
+        self.plane.on_fabric(packet, now_ms, &mut out);
+        self.collect(out, now_ms)
+    }
+
+    pub(crate) fn on_peer(
+        &mut self,
+        from: SocketAddr,
+        datagram: &mut [u8],
+        now_ms: u64,
+    ) -> Vec<Datagram> {
+        let mut out = Outbox::default();
+        self.plane.on_peer(from, datagram, now_ms, &mut out);
+        self.collect(out, now_ms)
+    }
+
+    pub(crate) fn tick(&mut self, now_ms: u64) -> Vec<Datagram> {
+        let mut out = Outbox::default();
+        self.plane.on_tick(now_ms, &mut out);
+        let mut datagrams = self.collect(out, now_ms);
+        let mut out = ControlOutput::default();
+        self.control.tick(now_ms, &mut out);
+        datagrams.extend(self.carry_out(out, now_ms));
+        datagrams
+    }
+
+    fn collect(&mut self, out: Outbox, now_ms: u64) -> Vec<Datagram> {
+        let mut datagrams: Vec<Datagram> =
+            out.datagrams().map(|(to, bytes)| (to, bytes.to_vec())).collect();
+        let is_peer = |datagram: &&Datagram| matches!(datagram.0, Destination::Peer(_));
+        let relayed = datagrams.iter().filter(is_peer).map(|(_, bytes)| bytes.len() as u64);
+        self.relayed_bytes += relayed.sum::<u64>();
+        for event in out.events {
+            let mut control_out = ControlOutput::default();
+            match event {
+                TrafficEvent::Control { from, sender, message } => {
+                    self.control.on_message(from, sender, &message, now_ms, &mut control_out);
+                }
+                TrafficEvent::Frozen { .. } => self.control.on_frozen(now_ms, &mut control_out),
+                TrafficEvent::HandedOver => self.control.on_handed_over(),
+                _ => {}
+            }
+            datagrams.extend(self.carry_out(control_out, now_ms));
+        }
+        datagrams
+    }
+
+    fn carry_out(&mut self, out: ControlOutput, now_ms: u64) -> Vec<Datagram> {
+        let mut datagrams = Vec::new();
+        for (to, message) in out.messages {
+            let body = wire::encode(&message);
+            let frame = Frame {
+                kind: FrameKind::Control,
+                hops: 0,
+                listener_key: 0,
+                sender: self.config.id(),
+                origin: HostId(0),
+                sent_at_ms: now_ms,
+                target: std::net::IpAddr::V6(std::net::Ipv6Addr::UNSPECIFIED),
+                body: &body,
+            };
+            let mut bytes = Vec::new();
+            frame.seal(&self.config.peer_key, &mut bytes);
+            self.control_bytes += bytes.len() as u64;
+            datagrams.push((Destination::Peer(to), bytes));
+        }
+        if let Some((from, _)) = out.newer_settings {
+            self.fetch_from = Some(from);
+        }
+        if let Some(view) = out.view {
+            let mut plane_out = Outbox::default();
+            self.plane.on_view(view, now_ms, &mut plane_out);
+            datagrams.extend(self.collect(plane_out, now_ms));
+        }
+        datagrams
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/target.rs
@@ -0,0 +1,227 @@
+//! A target that speaks enough TCP to accept, refuse, reset and answer.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
+
+use flow::PacketView;
+
+use crate::packet::Segment;
+
+/// How long a repeated answer waits for its acknowledgement, in milliseconds.
+const REPEAT_MS: u64 = 300;
+
+/// The port of the request listener on targets.
+pub(crate) const REQUEST_PORT: u16 = 8_444;
+
+/// How a target behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Manner {
+    /// It accepts and answers.
+    #[default]
+    Serving,
+    /// It resets every opening.
+    Shedding,
+    /// It receives and sends nothing.
+    Dead,
+    /// It accepts requests and never answers them.
+    Hanging,
+}
+
+#[derive(Debug)]
+struct Connection {
+    initial_sequence: u32,
+    received: u32,
+    sent: u32,
+    is_established: bool,
+    /// When the answer to a request is due, and when it is repeated.
+    answer_at_ms: Option<u64>,
+    is_answered: bool,
+}
+
+/// A target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) address: IpAddr,
+    pub(crate) domain: usize,
+    pub(crate) manner: Manner,
+    pub(crate) work_ms: u64,
+    connections: BTreeMap<(SocketAddr, u16), Connection>,
+    /// The flows whose data this target took, by caller and port.
+    pub(crate) accepted: Vec<(SocketAddr, u16)>,
+    next_sequence: u32,
+    /// The most requests that were open at a time.
+    pub(crate) most_requests: usize,
+}
+
+impl Target {
+    pub(crate) fn new(address: IpAddr, domain: usize, seed: u32) -> Target {
+        Target {
+            address,
+            domain,
+            manner: Manner::Serving,
+            work_ms: 100,
+            connections: BTreeMap::new(),
+            accepted: Vec::new(),
+            next_sequence: seed.wrapping_mul(0x9e37_79b9),
+            most_requests: 0,
+        }
+    }
+
+    /// How many flows are open.
+    pub(crate) fn open_flows(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Loses a flow without telling anyone, as a middlebox would.
+    pub(crate) fn ignore(&mut self, caller: SocketAddr) {
+        self.connections.retain(|(other, _), _| *other != caller);
+    }
+
+    /// Whether the flow of `caller` is open here.
+    pub(crate) fn holds(&self, caller: SocketAddr) -> bool {
+        self.connections.keys().any(|(other, _)| *other == caller)
+    }
+
+    /// Handles a packet; gives what is sent.
+    pub(crate) fn receive(&mut self, view: &PacketView, now_ms: u64) -> Vec<Segment> {
+        let Some(tcp) = view.tcp else { return Vec::new() };
+        if self.manner == Manner::Dead {
+            return Vec::new();
+        }
+        let key = (view.source, view.destination.port());
+        if tcp.flags.rst {
+            let is_valid = self
+                .connections
+                .get(&key)
+                .is_some_and(|connection| connection.received == tcp.sequence);
+            if is_valid {
+                self.connections.remove(&key);
+            }
+            return Vec::new();
+        }
+        if tcp.flags.syn {
+            return self.accept(view, key, tcp.sequence);
+        }
+        let Some(connection) = self.connections.get_mut(&key) else {
+            return vec![reply(view, "R", tcp.acknowledgement, 0, 0)];
+        };
+        if !connection.is_established {
+            if tcp.acknowledgement != connection.initial_sequence.wrapping_add(1) {
+                return vec![reply(view, "R", tcp.acknowledgement, 0, 0)];
+            }
+            connection.is_established = true;
+        }
+        if tcp.flags.fin {
+            let finished = connection.received.wrapping_add(1);
+            let sent = connection.sent;
+            self.connections.remove(&key);
+            return vec![reply(view, "FA", sent, finished, 0)];
+        }
+        self.take_data(view, key, now_ms)
+    }
+
+    /// Sends the answers that are due.
+    pub(crate) fn tick(&mut self, now_ms: u64) -> Vec<Segment> {
+        if matches!(self.manner, Manner::Dead | Manner::Hanging) {
+            return Vec::new();
+        }
+        let address = self.address;
+        let mut segments = Vec::new();
+        for ((caller, port), connection) in &mut self.connections {
+            if connection.answer_at_ms.is_none_or(|at_ms| at_ms > now_ms) {
+                continue;
+            }
+            connection.answer_at_ms = Some(now_ms + REPEAT_MS);
+            connection.is_answered = true;
+            segments.push(Segment {
+                source: SocketAddr::new(address, *port),
+                destination: *caller,
+                flags: "FA",
+                sequence: connection.sent,
+                acknowledgement: connection.received,
+                payload_len: 20,
+            });
+        }
+        segments
+    }
+
+    fn accept(&mut self, view: &PacketView, key: (SocketAddr, u16), sequence: u32) -> Vec<Segment> {
+        let expected = sequence.wrapping_add(1);
+        if self.manner == Manner::Shedding {
+            return vec![reply(view, "RA", 0, expected, 0)];
+        }
+        if let Some(connection) = self.connections.get(&key) {
+            if connection.is_established {
+                return vec![reply(view, "A", connection.sent, connection.received, 0)];
+            }
+            return vec![reply(view, "SA", connection.initial_sequence, expected, 0)];
+        }
+        self.next_sequence = self.next_sequence.wrapping_add(0x3c6e_f372);
+        let initial_sequence = self.next_sequence;
+        let connection = Connection {
+            initial_sequence,
+            received: expected,
+            sent: initial_sequence.wrapping_add(1),
+            is_established: false,
+            answer_at_ms: None,
+            is_answered: false,
+        };
+        self.connections.insert(key, connection);
+        vec![reply(view, "SA", initial_sequence, expected, 0)]
+    }
+
+    fn take_data(
+        &mut self,
+        view: &PacketView,
+        key: (SocketAddr, u16),
+        now_ms: u64,
+    ) -> Vec<Segment> {
+        let (Some(tcp), Some(connection)) = (view.tcp, self.connections.get_mut(&key)) else {
+            return Vec::new();
+        };
+        if connection.is_answered && tcp.acknowledgement == connection.sent.wrapping_add(21) {
+            self.connections.remove(&key);
+            return Vec::new();
+        }
+        if view.payload_len == 0 {
+            return Vec::new();
+        }
+        if tcp.sequence != connection.received {
+            return vec![reply(view, "A", connection.sent, connection.received, 0)];
+        }
+        connection.received = connection.received.wrapping_add(view.payload_len as u32);
+        if !self.accepted.contains(&key) {
+            self.accepted.push(key);
+        }
+        let connection_port = key.1;
+        if connection_port == REQUEST_PORT {
+            connection.answer_at_ms = Some(now_ms + self.work_ms);
+            let segment = reply(view, "A", connection.sent, connection.received, 0);
+            let open = self.connections.keys().filter(|(_, port)| *port == REQUEST_PORT).count();
+            self.most_requests = self.most_requests.max(open);
+            return vec![segment];
+        }
+        let segment = reply(view, "A", connection.sent, connection.received, 5);
+        connection.sent = connection.sent.wrapping_add(5);
+        vec![segment]
+    }
+}
+
+fn reply(
+    view: &PacketView,
+    flags: &'static str,
+    sequence: u32,
+    acknowledgement: u32,
+    payload_len: usize,
+) -> Segment {
+    Segment {
+        source: view.destination,
+        destination: view.source,
+        flags,
+        sequence,
+        acknowledgement,
+        payload_len,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/trees.rs
@@ -0,0 +1,77 @@
+//! Trees of settings for runs.
+
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use settings::{
+    FailureDomain, Kind, ListenerNode, Policy, ServiceNode, TargetNode, Transport, Tree,
+    UpstreamNode,
+};
+
+/// A service with one session and one request listener, and its targets by failure domain.
+#[derive(Debug, Clone)]
+pub struct ServiceSpec {
+    /// The name.
+    pub name: &'static str,
+    /// The number that tells its addresses from those of other services.
+    pub number: u8,
+    /// How many targets each failure domain has.
+    pub targets: Vec<u8>,
+    /// What the service overrides.
+    pub policy: Policy,
+}
+
+impl Default for ServiceSpec {
+    fn default() -> ServiceSpec {
+        ServiceSpec {
+            name: "board",
+            number: 1,
+            targets: vec![5, 5, 5],
+            policy: Policy { slow_start_ms: Some(0), ..Policy::default() },
+        }
+    }
+}
+
+/// A tree of `services` in failure domains named a, b, c and so on.
+pub fn tree(services: &[ServiceSpec]) -> Tree {
+    let mut tree = Tree::default();
+    tree.routing.bucket_count = 512;
+    for service in services {
+        let mut upstreams = BTreeMap::new();
+        for (domain, count) in service.targets.iter().enumerate() {
+            let name = domain_name(domain);
+            tree.failure_domains.insert(name.clone(), FailureDomain::default());
+            let targets = (1..=*count)
+                .map(|number| {
+                    let address = Ipv4Addr::new(10, service.number, domain as u8 + 1, number);
+                    let target = TargetNode { address: address.into(), policy: Policy::default() };
+                    (format!("t{number:02}"), target)
+                })
+                .collect();
+            let upstream =
+                UpstreamNode { failure_domain: name.clone(), policy: Policy::default(), targets };
+            upstreams.insert(name, upstream);
+        }
+        let listeners = BTreeMap::from([
+            ("sessions".to_owned(), listener(service.number, 443, Kind::Session)),
+            ("requests".to_owned(), listener(service.number, 444, Kind::Request)),
+        ]);
+        let node = ServiceNode { policy: service.policy.clone(), listeners, upstreams };
+        tree.services.insert(service.name.to_owned(), node);
+    }
+    tree
+}
+
+/// The name of the failure domain with this number.
+pub(crate) fn domain_name(number: usize) -> String {
+    char::from(b'a' + number as u8).to_string()
+}
+
+fn listener(service: u8, port: u16, kind: Kind) -> ListenerNode {
+    ListenerNode {
+        address: Ipv4Addr::new(198, 51, 100, service).into(),
+        port,
+        transport: Transport::Tcp,
+        target_port: 8_000 + port,
+        policy: Policy { kind: Some(kind), ..Policy::default() },
+    }
+}
--- /dev/null
+++ b/crates/host/tests/host_death.rs
@@ -0,0 +1,76 @@
+//! What the death of hosts costs.
+
+use fakes::{CallerKind, Lan, LanConfig, Report};
+
+const BUSY: CallerKind = CallerKind::Session { interval_ms: 300 };
+const IDLE: CallerKind = CallerKind::Session { interval_ms: 0 };
+
+/// Opens sessions, waits until they are settled, kills hosts and waits for the dust to settle.
+fn run(seed: u64, settle_ms: u64, victims: &[usize]) -> (Lan, Report) {
+    let mut lan = Lan::new(LanConfig { seed, ..LanConfig::default() });
+    lan.open(1, BUSY, 200);
+    lan.open(1, IDLE, 200);
+    lan.run_ms(settle_ms);
+    for victim in victims {
+        lan.kill(*victim);
+    }
+    lan.run_ms(10_000);
+    lan.wake_all();
+    lan.run_ms(15_000);
+    let report = lan.report();
+    (lan, report)
+}
+
+#[test]
+fn settled_survive() {
+    for seed in 1..=5 {
+        let victim = seed as usize % 9;
+        let (_, report) = run(seed, 8_000, &[victim]);
+        assert_eq!((report.broken, report.taken_twice), (0, 0), "seed {seed}: {report:?}");
+        assert_eq!(report.whole, 400, "seed {seed}: {report:?}");
+    }
+}
+
+#[test]
+fn unsettled_found() {
+    for seed in 1..=5 {
+        let victim = seed as usize % 9;
+        let (lan, report) = run(seed, 1_500, &[victim]);
+        assert_eq!((report.broken, report.taken_twice), (0, 0), "seed {seed}: {report:?}");
+        assert_eq!(report.whole, 400, "seed {seed}: {report:?}");
+        assert!(lan.count(host::Counter::Found) > 0, "seed {seed}: nothing was searched");
+    }
+}
+
+#[test]
+fn home_and_backup() {
+    for seed in 1..=3 {
+        let (lan, report) = run(seed, 8_000, &[0, 1]);
+        assert_eq!((report.broken, report.taken_twice), (0, 0), "seed {seed}: {report:?}");
+        assert!(lan.count(host::Counter::Found) > 0, "seed {seed}: nothing was searched");
+    }
+}
+
+#[test]
+fn whole_domain() {
+    let (_, report) = run(4, 8_000, &[0, 1, 2]);
+    assert_eq!((report.broken, report.taken_twice), (0, 0), "{report:?}");
+}
+
+#[test]
+fn openings_during_death() {
+    for seed in 1..=3 {
+        let mut lan = Lan::new(LanConfig { seed, ..LanConfig::default() });
+        for round in 0..40 {
+            lan.open(1, CallerKind::Request, 4);
+            if round == 10 {
+                lan.kill(seed as usize);
+            }
+            lan.run_ms(100);
+        }
+        lan.run_ms(30_000);
+        let report = lan.report();
+        assert_eq!((report.taken_twice, report.refused_but_taken), (0, 0), "seed {seed}");
+        assert_eq!(report.completed + report.refused, report.started, "seed {seed}: {report:?}");
+    }
+}
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -42,8 +42,8 @@
         .format(move |out, message, record| {
             let line = format!("{message}");
             // Events are JSON objects already; anything else is wrapped.
-            if line.starts_with('{') {
-                return out.finish(format_args!("{{\"host\":\"{host}\",{}", &line[1..]));
+            if let Some(fields) = line.strip_prefix('{') {
+                return out.finish(format_args!("{{\"host\":\"{host}\",{fields}"));
             }
             let text = Value::String(line);
             let level = record.level();
