--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -99,6 +99,11 @@
         self.stage
     }
 
+    /// This host as the others see it.
+    pub fn me(&self) -> &Member {
+        self.membership.me()
+    }
+
     /// The known hosts.
     pub fn members(&self) -> &membership::Table {
         self.membership.table()
--- a/crates/host/src/traffic/home.rs
+++ b/crates/host/src/traffic/home.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Outbox, TrafficEvent, View,
-    traffic::{Direction, Packet, Traffic},
+    traffic::{Direction, Packet, Traffic, search::FirstTry},
 };
 
 /// How far the first acknowledgement may be from the target's initial sequence number, in bytes.
@@ -56,7 +56,7 @@
                 self.counters.count_drop(DropReason::NoTarget);
             }
             (Direction::Forward, Some(_)) => {
-                self.start_search(view, packet, bytes, None, now_ms, out);
+                self.start_search(view, packet, bytes, FirstTry::Any, now_ms, out);
             }
             (Direction::Return { target }, Some(tcp)) => {
                 self.adopt(view, packet, bytes, &tcp, target, now_ms, out);
@@ -109,7 +109,8 @@
             }
             // Only a target's answer lets a caller send this, and none came from the pinned one.
             PinState::Opening => {
-                self.start_search(view, packet, bytes, Some(target), now_ms, out);
+                let first = FirstTry::Likely(target);
+                self.start_search(view, packet, bytes, first, now_ms, out);
             }
             PinState::Answered if tcp.is_opening() => {
                 self.send_to_target(view, packet, bytes, target, out);
@@ -118,8 +119,10 @@
                 self.set_state(packet, PinState::Established);
                 self.pass_forward(view, packet, bytes, &tcp, target, now_ms, out);
             }
+            // The caller was answered by another target than the pinned one.
             PinState::Answered => {
-                self.start_search(view, packet, bytes, Some(target), now_ms, out);
+                let first = FirstTry::AllBut(target);
+                self.start_search(view, packet, bytes, first, now_ms, out);
             }
             PinState::Searching => self.forward_searching(view, packet, bytes, now_ms, out),
             PinState::Established | PinState::Closing => {
--- a/crates/host/src/traffic/search.rs
+++ b/crates/host/src/traffic/search.rs
@@ -24,6 +24,17 @@
 /// How many targets are shown a packet.
 const CANDIDATES_MAX: usize = 64;
 
+/// Where a search begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FirstTry {
+    /// At the target that openings prefer.
+    Any,
+    /// At a target that may know the flow.
+    Likely(IpAddr),
+    /// At any but a target that does not know the flow; it is tried last.
+    AllBut(IpAddr),
+}
+
 /// What a candidate made of the flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Finding {
@@ -63,13 +74,13 @@
 }
 
 impl Traffic {
-    /// Starts a search. `likely` is a target that may know the flow; it is tried first.
+    /// Starts a search.
     pub(super) fn start_search(
         &mut self,
         view: &View,
         packet: &Packet,
         bytes: &mut [u8],
-        likely: Option<IpAddr>,
+        first: FirstTry,
         now_ms: u64,
         out: &mut Outbox,
     ) {
@@ -79,7 +90,7 @@
             return self.counters.count_drop(DropReason::Full);
         }
         let Some(tcp) = packet.view.tcp else { return };
-        let candidates = candidates(view, packet, likely);
+        let candidates = candidates(view, packet, first);
         let Some(first) = candidates.first().map(|candidate| candidate.target) else {
             return self.counters.count_drop(DropReason::NoTarget);
         };
@@ -201,17 +212,21 @@
 }
 
 // The order in which openings prefer the targets, this host's failure domain first.
-fn candidates(view: &View, packet: &Packet, likely: Option<IpAddr>) -> Vec<Candidate> {
+fn candidates(view: &View, packet: &Packet, first: FirstTry) -> Vec<Candidate> {
     let service = view.settings.service(view.settings.listener(packet.listener).service);
-    let mut ranked: Vec<(bool, bool, f64, IpAddr)> = service
+    let mut ranked: Vec<(u8, bool, f64, IpAddr)> = service
         .targets
         .iter()
         .map(|id| view.settings.target(*id))
         .map(|target| {
-            let is_likely = likely == Some(target.address);
+            let preference = match first {
+                FirstTry::Likely(likely) if likely == target.address => 2,
+                FirstTry::AllBut(last) if last == target.address => 0,
+                _ => 1,
+            };
             let is_near = view.settings.domain_seed(target) == view.domain_seed;
             let rank = weighted_score(packet.hash.seed(), target.seed, target.policy.weight);
-            (is_likely, is_near, rank, target.address)
+            (preference, is_near, rank, target.address)
         })
         .collect();
     ranked.sort_by(|left, right| {
--- a/crates/host/tests/planned_changes.rs
+++ b/crates/host/tests/planned_changes.rs
@@ -29,14 +29,20 @@
     for host in hosts {
         lan.stop(*host);
     }
-    let all = hosts.to_vec();
-    lan.run_until(30_000, move |lan| all.iter().all(|host| lan.is_stopped(*host)));
-    lan.open(1, CallerKind::Request, 20);
+    while !hosts.iter().all(|host| lan.is_stopped(*host)) {
+        assert!(lan.elapsed_ms() < 600_000, "a planned stop does not end");
+        lan.open(1, CallerKind::Request, 2);
+        lan.run_ms(50);
+    }
     for host in hosts {
         lan.start(*host);
         lan.give_settings(*host);
     }
-    lan.run_until(30_000, Lan::all_ready);
+    while !Lan::all_ready(lan) {
+        assert!(lan.elapsed_ms() < 600_000, "a host does not get ready");
+        lan.open(1, CallerKind::Request, 2);
+        lan.run_ms(50);
+    }
 }
 
 #[test]
