--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -28,6 +28,22 @@
     },
     /// It sends one message and waits for the answer.
     Request,
+    /// The same, to another request listener.
+    RequestTo {
+        /// The port of the listener.
+        port: u16,
+    },
+}
+
+impl CallerKind {
+    /// The port of the listener.
+    pub(crate) fn port(self) -> u16 {
+        match self {
+            CallerKind::Session { .. } => 443,
+            CallerKind::Request => 444,
+            CallerKind::RequestTo { port } => port,
+        }
+    }
 }
 
 /// How a flow ended.
@@ -154,7 +170,7 @@
         self.received = self.received.wrapping_add(length);
         if tcp.flags.fin {
             let ending = match self.kind {
-                CallerKind::Request => Ending::Completed,
+                CallerKind::Request | CallerKind::RequestTo { .. } => Ending::Completed,
                 CallerKind::Session { .. } => Ending::Broken,
             };
             self.end(ending, now_ms);
--- a/crates/fakes/src/lan.rs
+++ b/crates/fakes/src/lan.rs
@@ -224,11 +224,8 @@
     /// Opens `count` flows to the service with this number. Gives the number of the first one.
     pub fn open(&mut self, service: u8, kind: CallerKind, count: usize) -> usize {
         let first = self.callers.len();
-        let port = match kind {
-            CallerKind::Session { .. } => 443,
-            CallerKind::Request => 444,
-        };
-        let service = SocketAddr::new(Ipv4Addr::new(198, 51, 100, service).into(), port);
+        let ip = Ipv4Addr::new(198, 51, 100, service);
+        let service = SocketAddr::new(ip.into(), kind.port());
         for number in first..first + count {
             let domain = number % self.domain_count;
             let ip = Ipv4Addr::new(172, 16, (number / 30_000) as u8, domain as u8 + 1);
@@ -329,13 +326,22 @@
         }
     }
 
-    /// Sets how long every target takes for a request, in milliseconds.
+    /// Sets how long every target takes for a request in the mean, in milliseconds.
     pub fn set_work_ms(&mut self, work_ms: u64) {
         for target in &mut self.targets {
             target.work_ms = work_ms;
         }
     }
 
+    /// How many requests the targets of the service with this number run now, in all.
+    pub fn running(&self, service: u8) -> usize {
+        let is_of_service = |target: &&Target| match target.address {
+            IpAddr::V4(ip) => ip.octets()[1] == service,
+            IpAddr::V6(_) => false,
+        };
+        self.targets.iter().filter(is_of_service).map(Target::running).sum()
+    }
+
     /// Makes the path between a caller and its target lose everything, in both directions. Gives
     /// the target.
     pub fn silence(&mut self, caller: usize) -> IpAddr {
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -12,8 +12,11 @@
 /// How long a repeated answer waits for its acknowledgement, in milliseconds.
 const REPEAT_MS: u64 = 300;
 
-/// The port of the request listener on targets.
-pub(crate) const REQUEST_PORT: u16 = 8_444;
+/// The port of the session listener on targets; all others take requests.
+const SESSION_PORT: u16 = 8_443;
+
+/// How many requests a target runs at a time.
+const SLOTS: usize = 3;
 
 /// How a target behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -35,6 +38,8 @@
     received: u32,
     sent: u32,
     is_established: bool,
+    /// When the request came, while it waits for a slot.
+    queued_at: Option<u64>,
     /// When the answer to a request is due, and when it is repeated.
     answer_at_ms: Option<u64>,
     is_answered: bool,
@@ -51,8 +56,9 @@
     /// The flows whose data this target took, by caller and port.
     pub(crate) accepted: Vec<(SocketAddr, u16)>,
     next_sequence: u32,
-    /// The most requests that were open at a time.
+    /// The most requests that were open at a time, running or waiting for a slot.
     pub(crate) most_requests: usize,
+    arrivals: u64,
 }
 
 impl Target {
@@ -66,6 +72,7 @@
             accepted: Vec::new(),
             next_sequence: seed.wrapping_mul(0x9e37_79b9),
             most_requests: 0,
+            arrivals: 0,
         }
     }
 
@@ -74,6 +81,25 @@
         self.connections.len()
     }
 
+    /// How many requests run.
+    pub(crate) fn running(&self) -> usize {
+        let is_running =
+            |connection: &&Connection| connection.answer_at_ms.is_some() && !connection.is_answered;
+        self.connections.values().filter(is_running).count()
+    }
+
+    fn start_queued(&mut self, now_ms: u64) {
+        while self.running() < SLOTS {
+            let waiting =
+                self.connections.iter_mut().filter(|(_, entry)| entry.queued_at.is_some());
+            let Some(((caller, _), next)) = waiting.min_by_key(|(_, entry)| entry.queued_at) else {
+                return;
+            };
+            next.queued_at = None;
+            next.answer_at_ms = Some(now_ms + work_of(*caller, self.work_ms));
+        }
+    }
+
     /// Whether the flow of `caller` is open here.
     pub(crate) fn holds(&self, caller: SocketAddr) -> bool {
         self.connections.keys().any(|(other, _)| *other == caller)
@@ -122,6 +148,7 @@
         if matches!(self.manner, Manner::Dead | Manner::Hanging) {
             return Vec::new();
         }
+        self.start_queued(now_ms);
         let address = self.address;
         let mut segments = Vec::new();
         for ((caller, port), connection) in &mut self.connections {
@@ -160,6 +187,7 @@
             received: expected,
             sent: initial_sequence.wrapping_add(1),
             is_established: false,
+            queued_at: None,
             answer_at_ms: None,
             is_answered: false,
         };
@@ -190,11 +218,16 @@
         if !self.accepted.contains(&key) {
             self.accepted.push(key);
         }
-        let connection_port = key.1;
-        if connection_port == REQUEST_PORT {
-            connection.answer_at_ms = Some(now_ms + self.work_ms);
+        if key.1 != SESSION_PORT {
+            self.arrivals += 1;
+            connection.queued_at = Some(self.arrivals);
             let segment = reply(view, "A", connection.sent, connection.received, 0);
-            let open = self.connections.keys().filter(|(_, port)| *port == REQUEST_PORT).count();
+            self.start_queued(now_ms);
+            let is_open = |connection: &&Connection| {
+                connection.queued_at.is_some()
+                    || (connection.answer_at_ms.is_some() && !connection.is_answered)
+            };
+            let open = self.connections.values().filter(is_open).count();
             self.most_requests = self.most_requests.max(open);
             return vec![segment];
         }
@@ -204,6 +237,15 @@
     }
 }
 
+/// How long the request of `caller` takes: exponentially distributed, the same in every run.
+fn work_of(caller: SocketAddr, mean_ms: u64) -> u64 {
+    let IpAddr::V4(ip) = caller.ip() else { return mean_ms };
+    let seed = u64::from(u32::from(ip)) << 16 | u64::from(caller.port());
+    let uniform = (routing::mix(seed, 77) >> 11) as f64 / (1u64 << 53) as f64;
+    let factor = -(uniform.max(1e-9)).ln();
+    (mean_ms as f64 * factor.min(8.0)).round() as u64
+}
+
 fn reply(
     view: &PacketView,
     flags: &'static str,
--- a/crates/fakes/src/trees.rs
+++ b/crates/fakes/src/trees.rs
@@ -18,6 +18,8 @@
     pub targets: Vec<u8>,
     /// What the service overrides.
     pub policy: Policy,
+    /// Request listeners besides the one on port 444, by port.
+    pub classes: Vec<(u16, Policy)>,
 }
 
 impl Default for ServiceSpec {
@@ -27,6 +29,7 @@
             number: 1,
             targets: vec![5, 5, 5],
             policy: Policy { slow_start_ms: Some(0), ..Policy::default() },
+            classes: Vec::new(),
         }
     }
 }
@@ -51,10 +54,15 @@
                 UpstreamNode { failure_domain: name.clone(), policy: Policy::default(), targets };
             upstreams.insert(name, upstream);
         }
-        let listeners = BTreeMap::from([
+        let mut listeners = BTreeMap::from([
             ("sessions".to_owned(), listener(service.number, 443, Kind::Session)),
             ("requests".to_owned(), listener(service.number, 444, Kind::Request)),
         ]);
+        for (port, policy) in &service.classes {
+            let mut class = listener(service.number, *port, Kind::Request);
+            class.policy = policy.inherit(&class.policy);
+            listeners.insert(format!("class-{port}"), class);
+        }
         let node = ServiceNode { policy: service.policy.clone(), listeners, upstreams };
         tree.services.insert(service.name.to_owned(), node);
     }
--- a/crates/host/tests/moved_bucket.rs
+++ b/crates/host/tests/moved_bucket.rs
@@ -160,6 +160,7 @@
     assert_eq!(answer[0].0, asker);
     let relayed = fixture.give(syn);
     assert_eq!(relayed.iter().map(|(to, _)| *to).collect::<Vec<_>>(), [asker]);
+    assert_eq!(relayed[0].1[1], FrameKind::ToHome as u8);
 }
 
 #[test]
