Count queued flows from their grant on, and report when nothing is left

Cause: a flow that had waited in the queue counted as settled as soon as it was granted, so a home's report and the opener's own recent grant both counted it; and a home without settled flows sent no report, so the surplus stayed. Under a flood ten times the capacity the opener believed 45 of 45 slots in use while targets ran 25. Ruled out: callers that had given up (now they reset late answers, as real ones do; no change), evicted openings (now refused at the next tick; no change in the figure).

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -120,6 +120,8 @@
     counts: Counts,
     budget: RetryBudget,
     has_targets_before: bool,
+    /// Openings that had to make room, until the next tick.
+    evicted: Vec<Outcome>,
 }
 
 impl Pool {
@@ -226,7 +228,7 @@
     /// Advances time. Gives what became of waiting openings.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outcome> {
         self.counts.settle(now_ms);
-        let mut outcomes = Vec::new();
+        let mut outcomes = std::mem::take(&mut self.evicted);
         for class in &mut self.classes {
             let listener_key = class.listener_key;
             for expired in class.queue.take_expired(now_ms) {
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -139,9 +139,15 @@
     /// Handles a packet; gives what is sent.
     pub(crate) fn receive(&mut self, view: &PacketView, now_ms: u64) -> Vec<Segment> {
         let Some(tcp) = view.tcp else { return Vec::new() };
-        if self.ending.is_some() {
+        if self.ending == Some(Ending::Completed) {
             return Vec::new();
         }
+        if self.ending.is_some() {
+            // What is no longer known is reset (RFC 9293, 3.10.7.1).
+            let reset =
+                Segment { flags: "R", sequence: tcp.acknowledgement, ..self.segment("R", 0, 0) };
+            return if tcp.flags.rst { Vec::new() } else { vec![reset] };
+        }
         if !self.is_open {
             return self.receive_answer(view, now_ms);
         }
@@ -211,8 +217,10 @@
         self.acknowledged = expected;
         self.received = tcp.sequence.wrapping_add(1);
         self.repeats = 0;
-        self.next_at_ms = now_ms + 1;
-        vec![self.segment("A", self.sent, 0)]
+        self.next_at_ms = now_ms;
+        let mut segments = vec![self.segment("A", self.sent, 0)];
+        segments.extend(self.tick(now_ms));
+        segments
     }
 
     fn sends_more(&self) -> bool {
--- a/crates/fakes/src/lan.rs
+++ b/crates/fakes/src/lan.rs
@@ -109,6 +109,8 @@
     cut_hosts: Vec<(usize, usize)>,
     /// Pairs of target and caller whose packets are lost.
     silent: Vec<(IpAddr, SocketAddr)>,
+    traced: Option<SocketAddr>,
+    trace: Vec<String>,
     config: LanConfig,
     make_plane: fn(&HostConfig, u64) -> P,
     revision: u64,
@@ -117,9 +119,23 @@
 
 #[derive(Debug)]
 enum InFlight {
-    ToHost { host: usize, bytes: Vec<u8> },
-    ToPeer { from: SocketAddr, to: SocketAddr, bytes: Vec<u8> },
-    ToEnd { from_domain: usize, bytes: Vec<u8> },
+    ToHost {
+        host: usize,
+        bytes: Vec<u8>,
+    },
+    ToPeer {
+        from: SocketAddr,
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    ToEnd {
+        from_domain: usize,
+        bytes: Vec<u8>,
+    },
+    /// An answer of the target at this position is due.
+    Due {
+        target: usize,
+    },
 }
 
 impl Lan<Traffic> {
@@ -158,6 +174,8 @@
             is_cut: vec![false; domain_count],
             cut_hosts: Vec::new(),
             silent: Vec::new(),
+            traced: None,
+            trace: Vec::new(),
             config,
             make_plane,
             revision: 1,
@@ -362,6 +380,16 @@
         self.targets.iter().map(|target| target.most_requests).max().unwrap_or(0)
     }
 
+    /// Notes every delivery of a packet of this caller's flow from now on.
+    pub fn trace(&mut self, caller: usize) {
+        self.traced = Some(self.callers[caller].address);
+    }
+
+    /// The deliveries that were noted, a line each.
+    pub fn trace_lines(&self) -> &[String] {
+        &self.trace
+    }
+
     /// How a flow ended.
     pub fn ending(&self, caller: usize) -> Option<Ending> {
         self.callers[caller].ending
@@ -441,18 +469,61 @@
                 }
             }
         }
-        let now_ms = self.now_ms;
         for index in 0..self.targets.len() {
-            let segments = self.targets[index].tick(now_ms);
-            self.spray(self.targets[index].domain, segments);
+            self.tick_target(index);
         }
+        let now_ms = self.now_ms;
         for index in 0..self.callers.len() {
             let segments = self.callers[index].tick(now_ms);
             self.spray(self.callers[index].domain, segments);
         }
     }
 
+    fn note(&mut self, receiver: &str, bytes: &[u8]) {
+        let Some(traced) = self.traced else { return };
+        let Ok(view) = PacketView::parse(bytes) else { return };
+        if view.source != traced && view.destination != traced {
+            return;
+        }
+        let Some(tcp) = view.tcp else { return };
+        let letters = [
+            (tcp.flags.syn, 'S'),
+            (tcp.flags.ack, 'A'),
+            (tcp.flags.fin, 'F'),
+            (tcp.flags.rst, 'R'),
+        ];
+        let flags: String =
+            letters.iter().filter(|(is_set, _)| *is_set).map(|(_, letter)| *letter).collect();
+        self.trace.push(format!(
+            "{} ms {receiver}: {} > {} {flags} seq {} ack {} len {}",
+            self.now_ms - START_MS,
+            view.source,
+            view.destination,
+            tcp.sequence,
+            tcp.acknowledgement,
+            view.payload_len
+        ));
+    }
+
+    fn note_datagram(&mut self, datagram: &InFlight) {
+        if self.traced.is_none() {
+            return;
+        }
+        match datagram {
+            InFlight::ToHost { host, bytes } => self.note(&format!("host {host}"), bytes),
+            InFlight::ToPeer { to, bytes, .. } => {
+                let host = self.host_at(*to).unwrap_or(usize::MAX);
+                let kind = bytes.get(1).copied().unwrap_or(0);
+                let packet = bytes.get(wire::FRAME_HEADER_BYTES..).unwrap_or(&[]);
+                self.note(&format!("host {host} frame {kind}"), packet);
+            }
+            InFlight::ToEnd { bytes, .. } => self.note("end", bytes),
+            InFlight::Due { .. } => {}
+        }
+    }
+
     fn deliver(&mut self, datagram: InFlight) {
+        self.note_datagram(&datagram);
         match datagram {
             InFlight::ToHost { host, mut bytes } => {
                 if self.waits_for_thaw(host, InFlight::ToHost { host, bytes: bytes.clone() }) {
@@ -475,6 +546,23 @@
                 }
             }
             InFlight::ToEnd { from_domain, bytes } => self.deliver_to_end(from_domain, &bytes),
+            InFlight::Due { target } => self.tick_target(target),
+        }
+    }
+
+    fn tick_target(&mut self, target: usize) {
+        let segments = self.targets[target].tick(self.now_ms);
+        if !segments.is_empty() {
+            self.spray(self.targets[target].domain, segments);
+            self.schedule_answer(target);
+        }
+    }
+
+    // Answers leave at their time, not at the next step.
+    fn schedule_answer(&mut self, target: usize) {
+        let Some(due_ms) = self.targets[target].next_due_ms() else { return };
+        if due_ms > self.now_ms && due_ms < self.now_ms + 10 * STEP_MS {
+            self.schedule(due_ms - self.now_ms, InFlight::Due { target });
         }
     }
 
@@ -498,6 +586,7 @@
             if self.is_reachable(from_domain, domain) && !is_silent {
                 let segments = self.targets[index].receive(&view, now_ms);
                 self.spray(domain, segments);
+                self.schedule_answer(index);
             }
             return;
         }
@@ -555,6 +644,7 @@
                 InFlight::ToEnd { from_domain, bytes } => {
                     InFlight::ToEnd { from_domain: *from_domain, bytes: bytes.clone() }
                 }
+                InFlight::Due { target } => InFlight::Due { target: *target },
             };
             self.schedule(LATENCY_MS, copy);
         }
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -143,6 +143,11 @@
         self.take_data(view, key, now_ms)
     }
 
+    /// When the next answer is due, in milliseconds.
+    pub(crate) fn next_due_ms(&self) -> Option<u64> {
+        self.connections.values().filter_map(|connection| connection.answer_at_ms).min()
+    }
+
     /// Sends the answers that are due.
     pub(crate) fn tick(&mut self, now_ms: u64) -> Vec<Segment> {
         if matches!(self.manner, Manner::Dead | Manner::Hanging) {
--- a/crates/host/src/traffic/mod.rs
+++ b/crates/host/src/traffic/mod.rs
@@ -27,7 +27,7 @@
     Counter, Counters, Destination, HostConfig, Outbox, TrafficEvent, View,
     traffic::{
         moves::Moves, opener::OpenerTable, opening::OpeningTable, replication::Replication,
-        search::SearchTable, silence::AnswerTimes, sweep::Sweep,
+        report::ToldTable, search::SearchTable, silence::AnswerTimes, sweep::Sweep,
     },
 };
 pub use report::FlowReport;
@@ -101,6 +101,7 @@
     replication: Replication,
     sweep: Sweep,
     answers: AnswerTimes,
+    told: ToldTable,
     timers: TimerService<System>,
     counters: Counters,
     started_at_ms: u64,
@@ -130,6 +131,7 @@
             moves: Moves::default(),
             sweep: Sweep::default(),
             answers: AnswerTimes::default(),
+            told: ToldTable::default(),
             timers,
             counters: Counters::default(),
             started_at_ms: now_ms,
--- a/crates/host/src/traffic/opening.rs
+++ b/crates/host/src/traffic/opening.rs
@@ -122,7 +122,9 @@
         let is_tcp = packet.view.tcp.is_some();
         let state = if is_tcp { PinState::Opening } else { PinState::Established };
         let target = self.directory.intern(frame.target);
-        self.pins.insert(Pin { target, state, ..pin });
+        // The time in the queue is no part of the flow's age, by which openers count it.
+        let opened_at_ds = self.clock_ds(now_ms);
+        self.pins.insert(Pin { target, state, opened_at_ds, ..pin });
         let started_at_ms =
             self.openings.started.get(&packet.hash).map_or(now_ms, |entry| entry.started_at_ms);
         if let Some(started) = self.openings.started.get_mut(&packet.hash) {
@@ -253,7 +255,7 @@
         }
         let target = target.unwrap_or(IpAddr::V6(Ipv6Addr::UNSPECIFIED));
         self.release(view, packet, target, now_ms, out);
-        self.copy_closing(view, &was);
+        self.copy_closing(view, &was, now_ms);
         self.note_closed(&was, now_ms, out);
     }
 
@@ -276,7 +278,7 @@
             stored.progress_at_ds = clock_ds;
         }
         self.openings.remove(packet.hash);
-        self.copy_closing(view, pin);
+        self.copy_closing(view, pin, now_ms);
         self.note_closed(pin, now_ms, out);
         let Some(target) = self.directory.address(pin.target) else { return };
         let header = Frame { target, ..self.header(FrameKind::Close, 0, packet, now_ms) };
--- a/crates/host/src/traffic/replication.rs
+++ b/crates/host/src/traffic/replication.rs
@@ -20,6 +20,9 @@
 /// After how long an unacknowledged message is sent again, in milliseconds.
 const ACK_TIMEOUT_MS: u64 = 200;
 
+/// How long copies of settled pins are collected before they are sent, in milliseconds.
+const COLLECT_MS: u64 = 1_000;
+
 /// How often the end of a transfer is told to a joining host, in milliseconds.
 const DONE_INTERVAL_MS: u64 = 400;
 
@@ -39,6 +42,8 @@
 struct Receiver {
     host: HostId,
     queue: VecDeque<FlowHash>,
+    /// From when on a message is sent even if it is not full.
+    due_at_ms: u64,
     in_flight: Option<InFlight>,
     next_done_at_ms: u64,
 }
@@ -64,9 +69,22 @@
         }
     }
 
+    /// Queues a pin that the receiver needs at once.
     pub(super) fn queue(&mut self, host: HostId, hash: FlowHash) {
         let position = self.position_or_add(host);
-        self.receivers[position].queue.push_back(hash);
+        let receiver = &mut self.receivers[position];
+        receiver.queue.push_back(hash);
+        receiver.due_at_ms = 0;
+    }
+
+    /// Queues a pin that the receiver may need one day.
+    fn queue_copy(&mut self, host: HostId, hash: FlowHash, now_ms: u64) {
+        let position = self.position_or_add(host);
+        let receiver = &mut self.receivers[position];
+        if receiver.queue.is_empty() {
+            receiver.due_at_ms = now_ms + COLLECT_MS;
+        }
+        receiver.queue.push_back(hash);
     }
 
     pub(super) fn on_ack(&mut self, host: HostId, sequence: u64) {
@@ -88,8 +106,13 @@
         match self.receivers.binary_search_by_key(&host, |entry| entry.host) {
             Ok(position) => position,
             Err(position) => {
-                let receiver =
-                    Receiver { host, queue: VecDeque::new(), in_flight: None, next_done_at_ms: 0 };
+                let receiver = Receiver {
+                    host,
+                    queue: VecDeque::new(),
+                    due_at_ms: 0,
+                    in_flight: None,
+                    next_done_at_ms: 0,
+                };
                 self.receivers.insert(position, receiver);
                 position
             }
@@ -116,7 +139,8 @@
             return Some((message.sequence, message.hashes.clone()));
         }
         let count = receiver.queue.len().min(PINS_PER_MESSAGE).min(budget_pins);
-        if count == 0 {
+        let is_due = now_ms >= receiver.due_at_ms || receiver.queue.len() >= PINS_PER_MESSAGE;
+        if count == 0 || !is_due {
             return None;
         }
         let hashes: Vec<FlowHash> = receiver.queue.drain(..count).collect();
@@ -143,9 +167,9 @@
     }
 
     /// Queues a pin for every host that should have a copy.
-    pub(super) fn queue_copy(&mut self, view: &View, hash: FlowHash) {
+    pub(super) fn queue_copy(&mut self, view: &View, hash: FlowHash, now_ms: u64) {
         for holder in view.copy_holders(hash.bucket(view.placement.bucket_count())) {
-            self.replication.queue(holder, hash);
+            self.replication.queue_copy(holder, hash, now_ms);
         }
         if let Some(pin) = self.pins.get_mut(hash) {
             pin.is_copied = true;
@@ -153,9 +177,9 @@
     }
 
     /// Tells the holders of a copy that the flow has ended.
-    pub(super) fn copy_closing(&mut self, view: &View, pin: &Pin) {
+    pub(super) fn copy_closing(&mut self, view: &View, pin: &Pin, now_ms: u64) {
         if pin.is_copied {
-            self.queue_copy(view, pin.hash);
+            self.queue_copy(view, pin.hash, now_ms);
         }
     }
 
--- a/crates/host/src/traffic/report.rs
+++ b/crates/host/src/traffic/report.rs
@@ -14,6 +14,55 @@
 /// How many reports are sent in one round.
 const REPORTS_PER_ROUND: usize = 16;
 
+/// How often it is repeated that nothing is left.
+const EMPTY_REPORTS: u8 = 3;
+
+/// A service that an opener was told about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Told {
+    opener: HostId,
+    service_seed: u64,
+    empty_reports_left: u8,
+}
+
+/// What openers were told, sorted by opener and service.
+#[derive(Debug, Default)]
+pub(super) struct ToldTable {
+    rows: Vec<Told>,
+}
+
+impl ToldTable {
+    fn note(&mut self, opener: HostId, service_seed: u64) {
+        let row = Told { opener, service_seed, empty_reports_left: EMPTY_REPORTS };
+        match self.rows.binary_search_by_key(&(opener, service_seed), Told::key) {
+            Ok(position) => self.rows[position] = row,
+            Err(position) => self.rows.insert(position, row),
+        }
+    }
+
+    /// Takes the services about which nothing is left to be told but that.
+    fn take_empty(&mut self, groups: &[&[Load]]) -> Vec<(HostId, u64)> {
+        let is_current = |row: &Told| {
+            let found = groups
+                .binary_search_by_key(&row.key(), |group| (group[0].opener, group[0].service_seed));
+            found.is_ok()
+        };
+        let mut empty = Vec::new();
+        for row in self.rows.iter_mut().filter(|row| !is_current(row)) {
+            row.empty_reports_left -= 1;
+            empty.push((row.opener, row.service_seed));
+        }
+        self.rows.retain(|row| row.empty_reports_left > 0);
+        empty
+    }
+}
+
+impl Told {
+    fn key(&self) -> (HostId, u64) {
+        (self.opener, self.service_seed)
+    }
+}
+
 /// Settled flows of one service, target and listener at this home.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Load {
@@ -60,6 +109,10 @@
         let loads = self.loads(&view, now_ms);
         let round = (now_ms / super::REPORT_MS) as usize;
         let groups: Vec<&[Load]> = groups(&loads).collect();
+        for (opener, service_seed) in self.told.take_empty(&groups) {
+            let report = Report { service_seed, loads: Vec::new() };
+            self.deliver_report(opener, report, now_ms, out);
+        }
         let count = groups.len().min(REPORTS_PER_ROUND);
         for step in 0..count {
             let group = groups[(round * REPORTS_PER_ROUND + step) % groups.len()];
@@ -100,10 +153,15 @@
             })
             .collect();
         let report = Report { service_seed: group[0].service_seed, loads };
-        if group[0].opener == self.me {
+        self.told.note(group[0].opener, group[0].service_seed);
+        self.deliver_report(group[0].opener, report, now_ms, out);
+    }
+
+    fn deliver_report(&mut self, opener: HostId, report: Report, now_ms: u64, out: &mut Outbox) {
+        if opener == self.me {
             return self.on_report(self.me, &report);
         }
-        self.send_control(group[0].opener, &Control::Report(report), now_ms, out);
+        self.send_control(opener, &Control::Report(report), now_ms, out);
     }
 
     /// The settled flows of this home, sorted by opener and service.
--- a/crates/host/src/traffic/sweep.rs
+++ b/crates/host/src/traffic/sweep.rs
@@ -64,7 +64,7 @@
             .collect();
         for (hash, action) in actions {
             match action {
-                Action::Copy => self.queue_copy(view, hash),
+                Action::Copy => self.queue_copy(view, hash, now_ms),
                 Action::Remove => self.remove_pin(hash),
                 Action::Release => self.release_pin(view, hash, now_ms, out),
             }
--- a/crates/measures/src/control.rs
+++ b/crates/measures/src/control.rs
@@ -33,7 +33,8 @@
     const SECONDS: u64 = 10;
     let mut lan = Lan::new(LanConfig { seed, hosts_per_domain, ..LanConfig::default() });
     lan.open(1, CallerKind::Session { interval_ms: 2_000 }, sessions);
-    lan.run_ms(10_000);
+    // News of the start has to have died down.
+    lan.run_ms(60_000);
     let before = Sums::of(&lan);
     for _ in 0..SECONDS * 10 {
         lan.open(1, CallerKind::Session { interval_ms: 0 }, openings_per_s / 10);
