Hold the measures against the stated goals

Broken flows, control cost, the spread of edits and what the watched class keeps under floods are tests now, with the bounds of the goals.

--- /dev/null
+++ b/crates/measures/tests/floods.rs
@@ -0,0 +1,73 @@
+//! What the watched class keeps under floods, against the stated goals.
+
+use measures::{Flood, FloodFault, FloodPlan, flood, pools_flood};
+
+fn run(plan: FloodPlan) -> Flood {
+    let result = flood(&FloodPlan { run_ms: 3_000, ..plan });
+    // Whatever happens: nothing runs twice, and what was refused did not run.
+    assert_eq!((result.taken_twice, result.refused_but_taken), (0, 0), "{result:?}");
+    assert!(result.most_requests <= 3, "{result:?}");
+    result
+}
+
+fn check(flood_priority: u8, fault: FloodFault) {
+    let plan = FloodPlan { flood_priority, fault, ..FloodPlan::default() };
+    let quiet = run(FloodPlan { flood_percent: 0, ..plan.clone() });
+    let flooded = run(plan);
+    let goal = quiet.watched_goodput * 0.99;
+    assert!(flooded.watched_goodput >= goal, "{quiet:?} {flooded:?}");
+}
+
+#[test]
+fn low_priority() {
+    check(2, FloodFault::None);
+}
+
+#[test]
+fn urgent_too() {
+    check(0, FloodFault::None);
+}
+
+#[test]
+fn host_dies() {
+    check(2, FloodFault::HostDeath);
+}
+
+#[test]
+fn target_dies() {
+    check(2, FloodFault::TargetDeath);
+}
+
+#[test]
+fn fifty_times() {
+    let plan = FloodPlan { flood_percent: 5_000, ..FloodPlan::default() };
+    let result = flood(&FloodPlan { run_ms: 1_000, ..plan });
+    assert_eq!((result.taken_twice, result.refused_but_taken), (0, 0), "{result:?}");
+    assert_eq!(result.watched_goodput, 1.0, "{result:?}");
+}
+
+#[test]
+fn slots_saturated() {
+    let result = run(FloodPlan { watched_percent: 0, ..FloodPlan::default() });
+    assert!(result.slots_assigned_share >= 0.95, "{result:?}");
+}
+
+#[test]
+fn wait_below_twice() {
+    for seed in 1..=3 {
+        let quiet = flood(&FloodPlan { flood_percent: 0, seed, ..FloodPlan::default() });
+        let flooded = flood(&FloodPlan { seed, ..FloodPlan::default() });
+        assert!(
+            flooded.watched_wait_p99_ms < 2 * quiet.watched_wait_p99_ms,
+            "seed {seed}: {} ms unflooded, {} ms flooded",
+            quiet.watched_wait_p99_ms,
+            flooded.watched_wait_p99_ms
+        );
+    }
+}
+
+#[test]
+fn queues_bounded() {
+    // 256 openings of each of two classes may wait.
+    assert!(pools_flood(100_000) <= 512);
+}
