--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod lan;
+mod lone;
 mod node;
 mod packet;
 pub mod plane;
@@ -15,6 +16,7 @@
 pub use crate::{
     caller::{CallerKind, Ending},
     lan::{Faults, Lan, LanConfig, Manner, Report},
+    lone::LoneHost,
     node::Node,
     trees::{ServiceSpec, tree},
 };
--- /dev/null
+++ b/crates/host/benches/forward.rs
@@ -0,0 +1,45 @@
+//! The time of one decision about a packet.
+
+use divan::{Bencher, black_box};
+use fakes::LoneHost;
+use host::Outbox;
+
+fn main() {
+    divan::main();
+}
+
+/// A packet from a caller, of one of `flows` pinned flows in no particular order.
+#[divan::bench(args = [1_000, 500_000])]
+fn forward_pinned(bencher: Bencher<'_, '_>, flows: usize) {
+    let mut host = LoneHost::new(flows);
+    let packets: Vec<Vec<u8>> =
+        (0..4096).map(|index| host.data_packet(index * 7_919 % flows)).collect();
+    let mut out = Outbox::default();
+    let mut packet = packets[0].clone();
+    let mut next = 0;
+    bencher.counter(1u32).bench_local(|| {
+        next = (next + 1) % packets.len();
+        packet.copy_from_slice(&packets[next]);
+        out.clear();
+        host.traffic.on_fabric(black_box(&mut packet), host.now_ms, &mut out);
+        black_box(&out);
+    });
+}
+
+/// A packet from a target.
+#[divan::bench(args = [1_000, 500_000])]
+fn answer(bencher: Bencher<'_, '_>, flows: usize) {
+    let mut host = LoneHost::new(flows);
+    let packets: Vec<Vec<u8>> =
+        (0..4096).map(|index| host.answer_packet(index * 7_919 % flows)).collect();
+    let mut out = Outbox::default();
+    let mut packet = packets[0].clone();
+    let mut next = 0;
+    bencher.counter(1u32).bench_local(|| {
+        next = (next + 1) % packets.len();
+        packet.copy_from_slice(&packets[next]);
+        out.clear();
+        host.traffic.on_fabric(black_box(&mut packet), host.now_ms, &mut out);
+        black_box(&out);
+    });
+}
