Send no reset to a target that lost the flow to another

Cause: while hosts disagreed, the home reset the target that it had not pinned. Delayed by a second, the reset met a later opening of the same flow that had been given to the same target, and broke it. The half-open connection ends by itself.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -55,7 +55,8 @@
     connections: BTreeMap<(SocketAddr, u16), Connection>,
     /// The flows whose data this target took, by caller and port.
     pub(crate) accepted: Vec<(SocketAddr, u16)>,
-    next_sequence: u32,
+    seed: u64,
+    openings: u64,
     /// The most requests that were open at a time, running or waiting for a slot.
     pub(crate) most_requests: usize,
     arrivals: u64,
@@ -70,7 +71,8 @@
             work_ms: 100,
             connections: BTreeMap::new(),
             accepted: Vec::new(),
-            next_sequence: seed.wrapping_mul(0x9e37_79b9),
+            seed: u64::from(seed),
+            openings: 0,
             most_requests: 0,
             arrivals: 0,
         }
@@ -185,8 +187,8 @@
             }
             return vec![reply(view, "SA", connection.initial_sequence, expected, 0)];
         }
-        self.next_sequence = self.next_sequence.wrapping_add(0x3c6e_f372);
-        let initial_sequence = self.next_sequence;
+        self.openings += 1;
+        let initial_sequence = routing::mix(self.openings, self.seed) as u32;
         let connection = Connection {
             initial_sequence,
             received: expected,
--- a/crates/host/src/traffic/home.rs
+++ b/crates/host/src/traffic/home.rs
@@ -196,7 +196,10 @@
             return self.return_searching(view, packet, bytes, &tcp, target, now_ms, out);
         }
         if self.directory.address(pin.target) != Some(target) {
-            return self.refuse_stranger(bytes, &tcp, out);
+            // Two hosts opened the flow while they disagreed about its home; the pinned target stays.
+            // The other one is not reset: a late reset could meet a flow it was not meant for, and
+            // a half-open connection ends by itself.
+            return self.counters.count_drop(DropReason::WrongTarget);
         }
         self.answers.note(pin.target, self.clock_ds(now_ms));
         if tcp.flags.rst && pin.state == PinState::Opening {
@@ -216,18 +219,6 @@
         self.close_target(view, packet, bytes, pin, now_ms, out);
     }
 
-    // Two hosts opened the flow while they disagreed about its home; the pinned target stays.
-    fn refuse_stranger(&mut self, bytes: &[u8], tcp: &TcpView, out: &mut Outbox) {
-        self.counters.count_drop(DropReason::WrongTarget);
-        if !tcp.is_answer() {
-            return;
-        }
-        let Ok(view) = PacketView::parse(bytes) else { return };
-        if let Some(reset) = reset_from_destination(&view) {
-            out.push_fabric(&reset);
-        }
-    }
-
     fn note_answer(&mut self, packet: &Packet, pin: &Pin, tcp: &TcpView) {
         let Some(stored) = self.pins.get_mut(packet.hash) else { return };
         if pin.state == PinState::Opening || pin.state == PinState::Closing {
--- a/crates/host/tests/combined.rs
+++ b/crates/host/tests/combined.rs
@@ -95,6 +95,11 @@
     check(Event::Cut(0), Event::Late, 2601, 821, 600);
 }
 
+#[test]
+fn cut_and_freeze() {
+    check(Event::Cut(0), Event::Freeze(8), 601, 1691, 891);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 32,
