Look for hosts that left, and mend what late copies of openings did

Now hosts that left are probed too, and the platform of the bed lists its hosts. A reset before the caller has acknowledged the target's answer now ends the pin and goes no further.

--- a/crates/host/src/traffic/home.rs
+++ b/crates/host/src/traffic/home.rs
@@ -247,6 +247,12 @@
             self.pins.remove(packet.hash);
             return;
         }
+        // The caller has not acknowledged this target: a late copy of its opening may have come
+        // here, while the flow goes on at another target.
+        if tcp.flags.rst && pin.state == PinState::Answered {
+            self.pins.remove(packet.hash);
+            return self.release(view, packet, target, now_ms, out);
+        }
         if tcp.is_answer() {
             self.note_answer(packet, pin, &tcp);
             return self.send_to_caller(view, packet, bytes, out);
--- a/crates/host/src/traffic/search.rs
+++ b/crates/host/src/traffic/search.rs
@@ -2,7 +2,8 @@
 //!
 //! A target that does not know a flow answers with a reset and runs nothing (RFC 9293, 3.10.7.1).
 //! So the packet is shown to the targets of the service one after the other, and resets are
-//! swallowed until one target keeps the flow. Only if all reset it does the caller get a reset.
+//! swallowed until one target keeps the flow. Only if all reset it twice, two seconds apart, does the
+//! caller get a reset.
 
 use std::net::IpAddr;
 
@@ -25,6 +26,9 @@
 /// After how long without a reset any target is taken to know the flow, in milliseconds.
 const GUESSED_AFTER_MS: u64 = 10_000;
 
+/// How long after a round in which all targets reset the flow a second one begins, in milliseconds.
+const SECOND_ROUND_MS: u64 = 2_000;
+
 /// How many targets are shown a packet.
 const CANDIDATES_MAX: usize = 64;
 
@@ -64,17 +68,27 @@
     sent_at_ms: u64,
     /// Whether the caller has sent further data since the current target was tried.
     has_advanced: bool,
+    /// When every target had reset the flow for the first time.
+    exhausted_at_ms: Option<u64>,
 }
 
 impl Search {
     /// The state of the pin once the search has waited long enough, if it has.
     fn result(&self, now_ms: u64) -> Option<PinState> {
+        if self.is_paused(now_ms) {
+            return None;
+        }
         if self.has_advanced && now_ms >= self.sent_at_ms + SETTLED_AFTER_MS {
             return Some(PinState::Established);
         }
         (now_ms >= self.sent_at_ms + GUESSED_AFTER_MS).then_some(PinState::Guessed)
     }
 
+    /// Whether the first round is over and the second has not begun.
+    fn is_paused(&self, now_ms: u64) -> bool {
+        self.exhausted_at_ms.is_some_and(|at_ms| now_ms < at_ms + SECOND_ROUND_MS)
+    }
+
     /// The next target to be tried: an untried one, then one that did not answer.
     fn next(&self) -> Option<usize> {
         let with = |finding| self.candidates.iter().position(|entry| entry.finding == finding);
@@ -121,6 +135,7 @@
             payload_len: packet.view.payload_len,
             sent_at_ms: now_ms,
             has_advanced: false,
+            exhausted_at_ms: None,
         };
         self.searches.searches.insert(packet.hash, search);
         self.send_to_target(view, packet, bytes, first, out);
@@ -139,7 +154,17 @@
             self.set_state(packet, PinState::Established);
             return self.at_home_pinned(view, packet, bytes, now_ms, out);
         };
+        if search.is_paused(now_ms) {
+            return self.counters.count_drop(DropReason::NoTarget);
+        }
         let target = search.candidates[search.current].target;
+        if search.next().is_none() {
+            search.candidates = candidates(view, packet, FirstTry::Any);
+            search.packet = bytes.to_vec();
+            search.sequence = tcp.sequence;
+            search.payload_len = packet.view.payload_len;
+            return self.search_next(view, packet, now_ms, out);
+        }
         if tcp.flags.rst {
             self.searches.searches.remove(&packet.hash);
             self.close_pin(view, packet, now_ms, out);
@@ -193,6 +218,11 @@
         if search.next().is_some() {
             return self.search_next(view, packet, now_ms, out);
         }
+        // This host's settings may be older than the flow's target; a second round will know it.
+        if search.exhausted_at_ms.is_none() {
+            search.exhausted_at_ms = Some(now_ms);
+            return;
+        }
         self.searches.searches.remove(&packet.hash);
         self.counters.count(Counter::Lost);
         self.close_pin(view, packet, now_ms, out);
--- a/crates/host/tests/combined.rs
+++ b/crates/host/tests/combined.rs
@@ -100,6 +100,18 @@
     check(Event::Cut(0), Event::Freeze(8), 601, 1691, 891);
 }
 
+#[test]
+fn cut_and_edit() {
+    // A host with old settings searches for a flow whose target is new.
+    check(Event::Cut(2), Event::Edit, 91, 3001, 148);
+}
+
+#[test]
+fn cut_and_freeze_again() {
+    check(Event::Cut(0), Event::Freeze(1), 1271, 4741, 201);
+    check(Event::Cut(1), Event::Freeze(5), 2591, 4131, 33);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 32,
--- a/crates/host/tests/frozen_host.rs
+++ b/crates/host/tests/frozen_host.rs
@@ -58,3 +58,20 @@
     lan.run_until(20_000, Lan::all_ready);
     assert_eq!(lan.nodes[7].control.revision(), lan.revision());
 }
+
+#[test]
+fn back_without_seeds() {
+    // A host that left comes back knowing nobody; the others look for it.
+    let mut lan = Lan::new(LanConfig { seed: 6, ..LanConfig::default() });
+    lan.stop(2);
+    lan.run_until(20_000, |lan| lan.is_stopped(2));
+    lan.start(2);
+    lan.nodes[2].control.set_seeds(&[]);
+    lan.give_settings(2);
+    lan.run_until(30_000, |lan| lan.nodes[0].control.members().members().all(is_alive));
+    assert!(lan.nodes[2].control.members().members().filter(|member| is_alive(member)).count() > 1);
+}
+
+fn is_alive(member: &membership::Member) -> bool {
+    member.state.is_alive()
+}
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -199,7 +199,7 @@
         self.next_probe_at_ms = now_ms + self.config.probe_interval_ms;
         self.suspect_current(now_ms);
         self.probe_next(now_ms, revision, &mut out);
-        self.probe_dead(revision, &mut out);
+        self.probe_gone(revision, &mut out);
         self.probe_seed(revision, &mut out);
         out
     }
@@ -403,18 +403,15 @@
         None
     }
 
-    // A host believed dead may be behind a cut that has healed.
-    fn probe_dead(&mut self, revision: u64, out: &mut Vec<Outgoing>) {
-        let dead: Vec<Member> = self
-            .table
-            .members()
-            .filter(|member| member.state == MemberState::Dead)
-            .copied()
-            .collect();
-        if dead.is_empty() {
+    // A host believed dead may be behind a cut that has healed, and one that left may be back
+    // without knowing anyone.
+    fn probe_gone(&mut self, revision: u64, out: &mut Vec<Outgoing>) {
+        let gone: Vec<Member> =
+            self.table.members().filter(|member| !member.state.is_alive()).copied().collect();
+        if gone.is_empty() {
             return;
         }
-        let subject = dead[self.rng.random_range(0..dead.len())];
+        let subject = gone[self.rng.random_range(0..gone.len())];
         let sequence = self.take_sequence();
         let mut probe = self.message(ProbeKind::Ping, sequence, subject.id, revision);
         self.add_report_about(Some(subject.id), &mut probe);
--- a/crates/xtask/src/bed.rs
+++ b/crates/xtask/src/bed.rs
@@ -33,6 +33,14 @@
     pub(crate) fabric: Vec<String>,
 }
 
+impl Plan {
+    fn peers(&self) -> Result<Vec<String>> {
+        let tree = read_tree(&self.tree)?;
+        let domains = object(&tree["failure_domains"]).count();
+        (0..domains * self.hosts_per_domain).map(|_| Ok(local(free_port()?))).collect()
+    }
+}
+
 /// One host of a bed.
 #[derive(Debug, Clone)]
 pub(crate) struct Host {
@@ -47,6 +55,8 @@
     pub(crate) processes: Processes,
     pub(crate) hosts: Vec<Host>,
     pub(crate) store_port: u16,
+    /// The peer addresses of the hosts to be started, as the platform lists them.
+    peers: Vec<String>,
     fabric_port: u16,
     upstreams: Vec<String>,
     plan: Plan,
@@ -60,6 +70,7 @@
             processes,
             hosts: Vec::new(),
             store_port: free_port()?,
+            peers: plan.peers()?,
             fabric_port: free_port()?,
             upstreams: Vec::new(),
             plan: plan.clone(),
@@ -154,7 +165,10 @@
     }
 
     fn start_platform(&mut self) -> Result<()> {
-        let arguments = strings(&["platform", "--listen", &local(self.store_port)]);
+        let mut arguments = strings(&["platform", "--listen", &local(self.store_port)]);
+        for peer in &self.peers {
+            arguments.extend(strings(&["--host", peer]));
+        }
         self.processes.start("platform", "stand-ins", &arguments)?;
         let tree = self.plan.tree.display().to_string();
         let apply = strings(&["apply", &tree, "--base", "0", "--note", "first tree"]);
@@ -196,11 +210,11 @@
         let tree = read_tree(&self.plan.tree)?;
         let directory = Path::new("target/bed");
         fs::create_dir_all(directory)?;
-        let mut seeds: Vec<String> = Vec::new();
+        let mut peers = self.peers.clone().into_iter();
         for (domain, _) in object(&tree["failure_domains"]) {
             for number in 1..=self.plan.hosts_per_domain {
                 let name = format!("host-{domain}-{number}");
-                let peer = local(free_port()?);
+                let Some(peer) = peers.next() else { bail!("too few addresses") };
                 let admin_port = free_port()?;
                 let settings = directory.join(format!("{name}.json"));
                 let text = json!({
@@ -212,11 +226,9 @@
                     "failure_domain": domain,
                     "rack": format!("{domain}-rack-{}", number % 2),
                     "store_addresses": [local(self.store_port)],
-                    "seed_addresses": seeds,
                     "peer_key": PEER_KEY,
                 });
                 fs::write(&settings, text.to_string())?;
-                seeds.push(peer);
                 let host = Host { name, admin_port, settings };
                 self.start_host(&host)?;
                 self.hosts.push(host);
