Refuse openings that had to make room, and count retries exactly

Cause 1: an opening evicted by another caller's got no answer, and its packet stayed with the opener. Cause 2: the retry budget added tenths in floating point and gave 4 retries for 50 openings in place of 5 (retries_bounded).

--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -3,33 +3,36 @@
 /// Earns a fraction of a retry with each opening, so that retries stay a bounded share of the load.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
-    tokens: f64,
+    tenths: u32,
 }
 
-/// How many retries each opening earns.
-const EARNED_PER_OPENING: f64 = 0.1;
+/// What a retry costs, in tenths of a retry.
+const RETRY_TENTHS: u32 = 10;
 
-/// How many retries can be saved up.
-const SAVED_MAX: f64 = 10.0;
+/// What each opening earns, in tenths of a retry.
+const EARNED_TENTHS: u32 = 1;
+
+/// What can be saved up, in tenths of a retry.
+const SAVED_MAX_TENTHS: u32 = 100;
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget { tokens: SAVED_MAX }
+        RetryBudget { tenths: SAVED_MAX_TENTHS }
     }
 }
 
 impl RetryBudget {
     /// Counts an opening.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARNED_PER_OPENING).min(SAVED_MAX);
+        self.tenths = (self.tenths + EARNED_TENTHS).min(SAVED_MAX_TENTHS);
     }
 
     /// Takes one retry out of the budget. Returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if self.tenths < RETRY_TENTHS {
             return false;
         }
-        self.tokens -= 1.0;
+        self.tenths -= RETRY_TENTHS;
         true
     }
 }
--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -286,8 +286,11 @@
         match class.queue.push(waiting, class.policy.queue_limit as usize) {
             None => Verdict::Waiting,
             Some(refused) if refused.hash == opening.hash => Verdict::Refused(Refusal::QueueFull),
-            // The evicted opening is not answered; its caller's retransmission is.
-            Some(_) => Verdict::Waiting,
+            Some(evicted) => {
+                let listener_key = opening.listener_key;
+                self.evicted.push(refusal(&evicted, listener_key, Refusal::QueueFull));
+                Verdict::Waiting
+            }
         }
     }
 
--- /dev/null
+++ b/crates/telemetry/tests/catalogue.rs
@@ -0,0 +1,34 @@
+//! The pages list every event and every result code, and nothing else.
+
+use telemetry::Event;
+
+/// The numbers in the first column of the tables of `page`.
+fn listed(page: &str) -> Vec<u16> {
+    let mut numbers: Vec<u16> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| "))
+        .filter_map(|line| line.split(' ').next()?.parse().ok())
+        .collect();
+    numbers.sort_unstable();
+    numbers
+}
+
+#[test]
+fn events_listed() {
+    let page = include_str!("../../../docs/EVENTS.md");
+    let numbers: Vec<u16> = Event::ALL.iter().map(|event| event.number()).collect();
+    assert_eq!(listed(page), numbers);
+    for event in Event::ALL {
+        assert!(page.contains(&format!("| {} | {} |", event.number(), event.name())));
+    }
+}
+
+#[test]
+fn codes_listed() {
+    let page = include_str!("../../../docs/RESULT-CODES.md");
+    let mut codes: Vec<u16> = settings::Code::ALL.iter().map(|code| code.number()).collect();
+    codes.extend([121, 122, 123, 124, 131, 201, 202, 203, 301, 302, 303, 304]);
+    codes.extend(flow::DropReason::ALL.iter().map(|reason| reason.code()));
+    codes.extend(501..=504);
+    assert_eq!(listed(page), codes);
+}
