Try an opening again on the only target there is

Cause: an opening whose packet or answer was lost was refused if its failure domain had no other usable target. An opening is tried four times at most, within the budget, and in other failure domains too.

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -203,7 +203,7 @@
         {
             row.health.on_failure(now_ms);
         }
-        has_other && self.budget.spend()
+        self.budget.spend()
     }
 
     /// Removes a waiting opening whose caller gave up.
--- a/crates/host/src/traffic/opener.rs
+++ b/crates/host/src/traffic/opener.rs
@@ -266,7 +266,7 @@
             let header = Frame {
                 origin: entry.origin,
                 target: entry.failed,
-                ..self.header(FrameKind::AskOpener, HOPS_FINAL, &packet, now_ms)
+                ..self.header(FrameKind::AskOpener, 0, &packet, now_ms)
             };
             self.on_ask_opener(&view, &header, &packet, &mut bytes, now_ms, out);
         }
--- a/crates/host/src/traffic/opening.rs
+++ b/crates/host/src/traffic/opening.rs
@@ -15,6 +15,9 @@
 /// How long a target may take to answer an opening, in milliseconds.
 const ANSWER_WITHIN_MS: u64 = 700;
 
+/// How often an opening is tried again.
+const RETRIES_MAX: u8 = 3;
+
 /// An opening under way.
 #[derive(Debug)]
 struct Started {
@@ -219,9 +222,15 @@
         out: &mut Outbox,
     ) {
         let Some(target) = self.directory.address(pin.target) else { return };
-        self.counters.count(Counter::Retried);
-        let waiting = Pin { target: TARGET_NONE, state: PinState::Waiting, attempts: 0, ..*pin };
+        let attempts = pin.attempts + 1;
+        let waiting = Pin { target: TARGET_NONE, state: PinState::Waiting, attempts, ..*pin };
         self.pins.insert(waiting);
+        if attempts > RETRIES_MAX {
+            self.release(view, packet, target, now_ms, out);
+            let header = self.header(FrameKind::Refused, 0, packet, now_ms);
+            return self.on_refused(view, &header, packet, bytes, now_ms, out);
+        }
+        self.counters.count(Counter::Retried);
         let header = Frame { target, ..self.header(FrameKind::Failed, 0, packet, now_ms) };
         match self.opener_of_target(view, packet, target) {
             Some(opener) if opener != self.me => {
--- a/crates/host/tests/bad_network.rs
+++ b/crates/host/tests/bad_network.rs
@@ -77,3 +77,19 @@
     assert_eq!((report.completed, report.refused), (120, 0), "{report:?}");
     assert!(lan.count(Counter::Retried) > 0);
 }
+
+#[test]
+fn single_targets() {
+    // A lost packet is no reason to refuse an opening whose only target is well.
+    let spec = fakes::ServiceSpec { targets: vec![1, 1, 1], ..fakes::ServiceSpec::default() };
+    let tree = fakes::tree(&[spec]);
+    let mut lan = Lan::new(LanConfig { seed: 9, tree, ..LanConfig::default() });
+    lan.set_faults(Faults { lost_percent: 5, ..Faults::default() });
+    for _ in 0..100 {
+        lan.open(1, CallerKind::Request, 1);
+        lan.run_ms(100);
+    }
+    lan.run_ms(30_000);
+    let report = lan.report();
+    assert_eq!((report.completed, report.refused), (100, 0), "{report:?}");
+}
