--- a/crates/measures/src/control.rs
+++ b/crates/measures/src/control.rs
@@ -1,6 +1,6 @@
 //! What control costs a host.
 
-use fakes::{CallerKind, Lan, LanConfig};
+use fakes::{CallerKind, Lan, LanConfig, LoneHost};
 use host::Counter;
 use serde::Serialize;
 
@@ -75,3 +75,19 @@
         }
     }
 }
+
+/// The memory of pins.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct PinMemory {
+    /// Pinned flows.
+    pub flows: usize,
+    /// The memory of a pin, in bytes, its share of index and reserve included.
+    pub bytes_a_pin: f64,
+}
+
+/// Measures the memory of `flows` pins on one host.
+pub fn pin_memory(flows: usize) -> PinMemory {
+    let host = LoneHost::new(flows);
+    let pins = host.traffic.pin_count();
+    PinMemory { flows: pins, bytes_a_pin: host.traffic.pin_memory_bytes() as f64 / pins as f64 }
+}
--- a/crates/measures/src/lib.rs
+++ b/crates/measures/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod flood;
 mod placement;
+mod settings_scale;
 mod settings_spread;
 mod slots;
 mod statistics;
@@ -15,9 +16,10 @@
 pub use crate::{
     baseline::{LocalPins, TableOnly},
     breaks::{Breaks, Change, Way, breaks},
-    control::{ControlCost, control_cost},
+    control::{ControlCost, PinMemory, control_cost, pin_memory},
     flood::{Flood, FloodFault, FloodPlan, flood, pools_flood},
     placement::{PlacementCost, placement_cost},
+    settings_scale::{SettingsScale, settings_scale},
     settings_spread::{Spread, spread},
     slots::{Choice, SlotWait, slot_wait},
     statistics::percentile,
--- a/crates/xtask/src/measure.rs
+++ b/crates/xtask/src/measure.rs
@@ -3,8 +3,8 @@
 use argh::FromArgs;
 use eyre::{Result, bail};
 use measures::{
-    Change, Choice, FloodFault, FloodPlan, Way, breaks, control_cost, flood, placement_cost,
-    slot_wait, spread,
+    Change, Choice, FloodFault, FloodPlan, Way, breaks, control_cost, flood, pin_memory,
+    placement_cost, settings_scale, slot_wait, spread,
 };
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -27,7 +27,7 @@
 /// A measure: its name and what runs it with a seed.
 type Measure = (&'static str, fn(u64) -> Vec<Value>);
 
-const MEASURES: [Measure; 13] = [
+const MEASURES: [Measure; 15] = [
     ("replace-hosts", |seed| compare(Change::ReplaceHosts, seed)),
     ("move-targets", |seed| compare(Change::MoveTargets, seed)),
     ("kill-host", |seed| compare(Change::KillHost, seed)),
@@ -35,6 +35,8 @@
     ("cut-domain", |seed| compare(Change::CutDomain, seed)),
     ("control", control),
     ("settings-spread", settings_spread),
+    ("settings-scale", |_| scale()),
+    ("pins", |_| pins()),
     ("slots", slots),
     ("placement", |_| placement()),
     ("flood-low", |seed| floods(2, FloodFault::None, seed)),
@@ -108,6 +110,20 @@
     rows
 }
 
+fn scale() -> Vec<Value> {
+    [(51, 13), (510, 13), (5_100, 13)]
+        .into_iter()
+        .map(|(services, targets)| labelled("tree", &settings_scale(services, targets)))
+        .collect()
+}
+
+fn pins() -> Vec<Value> {
+    [10_000, 100_000, 500_000]
+        .into_iter()
+        .map(|flows| labelled("lone host", &pin_memory(flows)))
+        .collect()
+}
+
 fn placement() -> Vec<Value> {
     let sizes = [(16, 3, 4_096), (64, 3, 4_096), (540, 11, 65_536), (5_400, 11, 65_536)];
     sizes
