Drop copies of openings that the stand-in's stack would accept twice

Cause: smoltcp gives a doubled SYN to a second listening socket, so the stand-in held two half-open connections of one flow and reset the right one. Ruled out: loss and delay alone, refusals (0). A kernel knows the connection by its four addresses, so this is a fault of the stand-in.

--- a/crates/stand-ins/src/caller.rs
+++ b/crates/stand-ins/src/caller.rs
@@ -316,6 +316,13 @@
                         false
                     }
                     Answer::Partial if is_over => {
+                        let address = self.hosts[flow.host].address;
+                        eprintln!(
+                            "request {} of {address} ended in {state} after {} ms with {} bytes",
+                            flow.id,
+                            flow.since.elapsed().as_millis(),
+                            input.len()
+                        );
                         self.report.broken_flows += 1;
                         false
                     }
@@ -330,6 +337,7 @@
                     return true;
                 }
                 if !socket.may_recv() || !socket.may_send() {
+                    eprintln!("session {} ended in {state} at message {number}", flow.id);
                     self.report.broken_flows += 1;
                     return false;
                 }
@@ -349,6 +357,7 @@
                     let _ = socket.send_slice(format!("PING {number}\n").as_bytes());
                 }
                 if *is_waiting && flow.since.elapsed() > PATIENCE {
+                    eprintln!("session {} was not answered at message {number}", flow.id);
                     self.report.broken_flows += 1;
                     return false;
                 }
@@ -364,7 +373,10 @@
 
     fn keep_waiting(&mut self, flow: &Flow) -> bool {
         let is_patient = flow.since.elapsed() < PATIENCE;
-        self.report.broken_flows += u64::from(!is_patient);
+        if !is_patient {
+            self.report.broken_flows += 1;
+            eprintln!("flow {} was not answered in time", flow.id);
+        }
         is_patient
     }
 
--- a/crates/stand-ins/src/tcp_host.rs
+++ b/crates/stand-ins/src/tcp_host.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::VecDeque, net::IpAddr, time::Instant as StdInstant};
 
+use etherparse::{NetSlice, SlicedPacket, TransportSlice};
 use smoltcp::{
     iface::{Config, Interface, SocketHandle, SocketSet},
     phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken},
-    socket::tcp,
+    socket::{Socket, tcp},
     time::Instant,
     wire::{HardwareAddress, IpAddress, IpCidr, IpEndpoint},
 };
@@ -94,7 +95,33 @@
     }
 
     pub(crate) fn receive(&mut self, packet: &[u8]) {
-        self.queues.received.push_back(packet.to_vec());
+        if !self.is_known_opening(packet) {
+            self.queues.received.push_back(packet.to_vec());
+        }
+    }
+
+    // With several listening sockets the stack gives a copy of an opening to another one, where a
+    // kernel knows the connection. Such a copy counts as lost.
+    fn is_known_opening(&self, packet: &[u8]) -> bool {
+        let Ok(sliced) = SlicedPacket::from_ip(packet) else { return false };
+        let Some(TransportSlice::Tcp(header)) = sliced.transport else { return false };
+        let source = match &sliced.net {
+            Some(NetSlice::Ipv4(ip)) => IpAddr::V4(ip.header().source_addr()),
+            Some(NetSlice::Ipv6(ip)) => IpAddr::V6(ip.header().source_addr()),
+            _ => return false,
+        };
+        if !header.syn() || header.ack() {
+            return false;
+        }
+        let remote = IpEndpoint::new(IpAddress::from(source), header.source_port());
+        self.sockets.iter().any(|(_, socket)| match socket {
+            Socket::Tcp(socket) => {
+                socket.remote_endpoint() == Some(remote)
+                    && socket.state() != tcp::State::Closed
+                    && socket.state() != tcp::State::TimeWait
+            }
+            _ => false,
+        })
     }
 
     /// Advances the stack. Gives the packets to be sent.
