Read the list of hosts on watchers only, and take ports that no connection uses

Cause 1: every host read the platform's list of hosts, 240 large answers a second at the target size. Cause 2: a demonstration failed since a port found free had been given to a connection meanwhile (code 131 in the host's log); ports now come from below the kernel's range and are bound once. Cause 3: 240 sessions opened in one instant met 16 waiting sockets at the stand-in's targets; refused openings paused targets, and the flows of a service were 1.54 times the mean at the fullest target.

--- a/crates/stand-ins/src/caller.rs
+++ b/crates/stand-ins/src/caller.rs
@@ -24,6 +24,9 @@
 /// How long a flow may take to be opened or answered before it counts as broken.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The time between two sessions of a listener, in milliseconds.
+const SESSION_GAP_MS: u128 = 10;
+
 /// The callers of all services of a tree.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "caller")]
@@ -108,6 +111,7 @@
     report: Report,
     next_id: u64,
     next_port: u16,
+    opened_sessions: usize,
 }
 
 /// Runs until all requests have ended, then prints the report.
@@ -135,6 +139,7 @@
         report: Report::default(),
         next_id: options.seed.wrapping_mul(1_000_000_000),
         next_port: 10_000,
+        opened_sessions: 0,
     };
     process.run(&socket, &is_ended);
     println!("{}", serde_json::to_string(&process.report)?);
@@ -163,7 +168,6 @@
         let mut arrivals: Vec<Instant> = vec![started; self.classes.len()];
         let mut registered: Option<Instant> = None;
         let mut buffer = vec![0; 65_535];
-        self.open_sessions();
         loop {
             if registered.is_none_or(|at| at.elapsed() > Duration::from_millis(500)) {
                 registered = Some(Instant::now());
@@ -173,6 +177,7 @@
             }
             let is_open = started.elapsed() < run && !is_ended.load(Ordering::Relaxed);
             if is_open {
+                self.open_sessions(started.elapsed());
                 self.open_requests(&mut arrivals);
             }
             self.receive(socket, &mut buffer);
@@ -184,10 +189,13 @@
         }
     }
 
-    fn open_sessions(&mut self) {
-        for class in 0..self.classes.len() {
-            if self.classes[class].kind == Kind::Session {
-                for _ in 0..self.options.sessions {
+    // Sessions are opened one after the other, as people arrive.
+    fn open_sessions(&mut self, elapsed: Duration) {
+        let due = self.options.sessions.min((elapsed.as_millis() / SESSION_GAP_MS) as usize);
+        while self.opened_sessions < due {
+            self.opened_sessions += 1;
+            for class in 0..self.classes.len() {
+                if self.classes[class].kind == Kind::Session {
                     self.open(class);
                 }
             }
--- a/crates/stand-ins/src/upstream.rs
+++ b/crates/stand-ins/src/upstream.rs
@@ -22,7 +22,7 @@
 use crate::{tcp_host::TcpHost, wire};
 
 /// How many sockets of a port wait for a connection at any time.
-const BACKLOG: usize = 16;
+const BACKLOG: usize = 48;
 
 /// The targets of one upstream.
 #[derive(Debug, FromArgs)]
--- a/crates/wagtailstalld/src/store_task.rs
+++ b/crates/wagtailstalld/src/store_task.rs
@@ -89,37 +89,40 @@
 pub(crate) async fn list_hosts(state: State) {
     let client = PlatformClient::new(&state.shared.settings.store_addresses);
     loop {
-        if let Ok(hosts) = client.service_hosts(SERVICE).await {
+        // The list is long; the others hear of hosts by gossip.
+        let is_needed = is_watcher(&state) || is_alone(&state);
+        if is_needed && let Ok(hosts) = client.service_hosts(SERVICE).await {
             let seeds: Vec<SocketAddr> = hosts
                 .iter()
                 .map(|host| SocketAddr::new(host.service_address, host.service_port))
                 .collect();
             state.set_seeds(&seeds);
         }
-        Timer::after(jittered(LIST_MS)).await;
+        let pause_ms = if is_alone(&state) { FAILURE_PAUSE_MS } else { LIST_MS };
+        Timer::after(jittered(pause_ms)).await;
     }
 }
 
-async fn pause(state: &State, is_watcher: bool) {
+fn is_alone(state: &State) -> bool {
+    state.with_control(|control| control.members().entries(MemberState::is_alive).len() <= 1)
+}
+
+async fn pause(state: &State, was_watcher: bool) {
     if state.revision() == 0 {
         Timer::after(Duration::from_millis(FIRST_READ_MS)).await;
         return;
     }
-    if !is_watcher {
+    if !was_watcher {
         // A host may become a watcher meanwhile, so the pause is taken in steps.
         let pause = jittered(SLOW_READ_MS);
         let mut slept = Duration::ZERO;
-        while slept < pause && !is_watcher_now(state) {
+        while slept < pause && !is_watcher(state) {
             Timer::after(Duration::from_millis(FAILURE_PAUSE_MS)).await;
             slept += Duration::from_millis(FAILURE_PAUSE_MS);
         }
     }
 }
 
-fn is_watcher_now(state: &State) -> bool {
-    is_watcher(state)
-}
-
 fn is_watcher(state: &State) -> bool {
     let me = state.shared.config.id();
     let domain_seed = state.shared.config.domain_seed;
--- a/crates/xtask/src/bed.rs
+++ b/crates/xtask/src/bed.rs
@@ -5,6 +5,7 @@
     io::{Read, Write},
     net::{TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -256,13 +257,20 @@
     format!("127.0.0.1:{port}")
 }
 
-// A port that is free for both TCP and UDP at this moment.
+// A port that is free for both TCP and UDP, below those that the kernel gives to connections.
 fn free_port() -> Result<u16> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+    const FIRST: u16 = 20_000;
+    const COUNT: u16 = 12_000;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % u32::from(COUNT)) as u16;
+    for _ in 0..COUNT {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + (start.wrapping_add(offset)) % COUNT;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
             return Ok(port);
         }
     }
+    bail!("no port is free")
 }
