--- a/crates/host/src/traffic/adopt.rs
+++ b/crates/host/src/traffic/adopt.rs
@@ -5,22 +5,17 @@
 use flow::{DropReason, TcpView};
 use routing::{Pin, PinState};
 
-use crate::{
-    Outbox, View,
-    traffic::{Packet, Traffic},
-};
+use crate::traffic::{Context, Packet, Traffic};
 
 impl Traffic {
     /// Pins a flow to the target that speaks for it. Only its owner sends anything but a reset.
     pub(super) fn adopt(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         tcp: &TcpView,
         target: IpAddr,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         // This may be the answer to a search that another host makes; the caller asks again.
         if tcp.flags.rst {
@@ -31,13 +26,13 @@
             state,
             sequence: tcp.sequence,
             caller_sequence: tcp.acknowledgement,
-            ..self.new_pin(packet, target, now_ms)
+            ..self.new_pin(packet, target, cx.now_ms)
         };
         self.pins.insert(pin);
         if state == PinState::Answered {
-            return self.send_to_caller(view, packet, bytes, out);
+            return self.send_to_caller(packet, bytes, cx);
         }
-        self.close_target(view, packet, bytes, &pin, now_ms, out);
+        self.close_target(packet, bytes, &pin, cx);
     }
 
     pub(super) fn new_pin(&mut self, packet: &Packet, target: IpAddr, now_ms: u64) -> Pin {
--- a/crates/host/src/traffic/mod.rs
+++ b/crates/host/src/traffic/mod.rs
@@ -86,6 +86,16 @@
     }
 }
 
+/// What a decision about a packet needs besides the packet and the host's tables.
+struct Context<'a> {
+    /// The view in force.
+    view: &'a View,
+    /// The time, in milliseconds since 1970.
+    now_ms: u64,
+    /// Takes what is to be sent and told.
+    out: &'a mut Outbox,
+}
+
 /// The packet side of one host.
 #[derive(Debug)]
 pub struct Traffic {
@@ -173,7 +183,7 @@
             return self.counters.count_drop(DropReason::NoHome);
         };
         match self.classify(&view, packet) {
-            Ok(parsed) => self.route(&view, &parsed, packet, 0, now_ms, out),
+            Ok(parsed) => self.route(&parsed, packet, 0, &mut Context { view: &view, now_ms, out }),
             Err(reason) => self.counters.count_drop(reason),
         }
     }
@@ -199,10 +209,12 @@
             return self.counters.count_drop(DropReason::NoHome);
         };
         if frame.kind == FrameKind::Released {
-            return self.on_released(&view, &frame, body, now_ms, out);
+            return self.on_released(&frame, body, &mut Context { view: &view, now_ms, out });
         }
         match self.classify(&view, body) {
-            Ok(parsed) => self.on_frame(&view, &frame, &parsed, body, now_ms, out),
+            Ok(parsed) => {
+                self.on_frame(&frame, &parsed, body, &mut Context { view: &view, now_ms, out })
+            }
             Err(reason) => self.counters.count_drop(reason),
         }
     }
@@ -226,22 +238,20 @@
 
     fn on_frame(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         match frame.kind {
-            FrameKind::ToHome => self.route(view, packet, bytes, frame.hops, now_ms, out),
-            FrameKind::AskHolder => self.answer_asker(view, frame, packet, bytes, now_ms, out),
-            FrameKind::NoPin => self.at_home_unknown(view, packet, bytes, now_ms, out),
-            FrameKind::AskOpener => self.on_ask_opener(view, frame, packet, bytes, now_ms, out),
-            FrameKind::Granted => self.on_granted(view, frame, packet, bytes, now_ms, out),
-            FrameKind::Refused => self.on_refused(view, frame, packet, bytes, now_ms, out),
-            FrameKind::Close => self.on_close_frame(view, frame, packet, bytes, now_ms, out),
-            FrameKind::Failed => self.on_failed_frame(view, frame, packet, bytes, now_ms, out),
+            FrameKind::ToHome => self.route(packet, bytes, frame.hops, cx),
+            FrameKind::AskHolder => self.answer_asker(frame, packet, bytes, cx),
+            FrameKind::NoPin => self.at_home_unknown(packet, bytes, cx),
+            FrameKind::AskOpener => self.on_ask_opener(frame, packet, bytes, cx),
+            FrameKind::Granted => self.on_granted(frame, packet, bytes, cx),
+            FrameKind::Refused => self.on_refused(cx.view, frame, packet, bytes, cx.now_ms, cx.out),
+            FrameKind::Close => self.on_close_frame(frame, packet, bytes, cx),
+            FrameKind::Failed => self.on_failed_frame(frame, packet, bytes, cx),
             FrameKind::Released | FrameKind::Control => {}
         }
     }
@@ -279,25 +289,17 @@
 
     // Packets that change a connection's state, and all packets from callers, go to the home. Data
     // from targets needs only the settings and leaves from any host.
-    fn route(
-        &mut self,
-        view: &View,
-        packet: &Packet,
-        bytes: &mut [u8],
-        hops: u8,
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
+    fn route(&mut self, packet: &Packet, bytes: &mut [u8], hops: u8, cx: &mut Context<'_>) {
         let is_data = packet.view.tcp.is_none_or(|tcp| !tcp.is_control());
         if is_data && matches!(packet.direction, Direction::Return { .. }) {
-            return self.send_to_caller(view, packet, bytes, out);
+            return self.send_to_caller(packet, bytes, cx);
         }
-        match self.home_of(view, packet) {
-            Some(home) if home == self.me => self.at_home(view, packet, bytes, now_ms, out),
+        match self.home_of(cx.view, packet) {
+            Some(home) if home == self.me => self.at_home(packet, bytes, cx),
             Some(home) if hops < HOPS_MAX => {
                 self.counters.count(Counter::Relayed);
-                let header = self.header(FrameKind::ToHome, hops + 1, packet, now_ms);
-                self.send_frame(view, home, &header, bytes, out);
+                let header = self.header(FrameKind::ToHome, hops + 1, packet, cx.now_ms);
+                self.send_frame(home, &header, bytes, cx);
             }
             Some(_) => self.counters.count_drop(DropReason::HopLimit),
             None => self.counters.count_drop(DropReason::NoHome),
@@ -342,28 +344,27 @@
 
     fn send_to_target(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         target: IpAddr,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
-        let listener = view.settings.listener(packet.listener);
-        if !is_target_of(view, listener, target) {
+        let listener = cx.view.settings.listener(packet.listener);
+        if !is_target_of(cx.view, listener, target) {
             return self.counters.count_drop(DropReason::WrongTarget);
         }
         let destination = std::net::SocketAddr::new(target, listener.target_port);
         if rewrite_destination(bytes, &packet.view, destination) {
             self.counters.count(Counter::Forwarded);
-            out.push_fabric(bytes);
+            cx.out.push_fabric(bytes);
         }
     }
 
-    fn send_to_caller(&mut self, view: &View, packet: &Packet, bytes: &mut [u8], out: &mut Outbox) {
-        let listener = view.settings.listener(packet.listener);
+    fn send_to_caller(&mut self, packet: &Packet, bytes: &mut [u8], cx: &mut Context<'_>) {
+        let listener = cx.view.settings.listener(packet.listener);
         if rewrite_source(bytes, &packet.view, listener.address) {
             self.counters.count(Counter::Returned);
-            out.push_fabric(bytes);
+            cx.out.push_fabric(bytes);
         }
     }
 
@@ -380,20 +381,13 @@
         }
     }
 
-    fn send_frame(
-        &mut self,
-        view: &View,
-        to: HostId,
-        header: &Frame<'_>,
-        body: &[u8],
-        out: &mut Outbox,
-    ) {
-        let Some(peer) = view.peer(to) else {
+    fn send_frame(&mut self, to: HostId, header: &Frame<'_>, body: &[u8], cx: &mut Context<'_>) {
+        let Some(peer) = cx.view.peer(to) else {
             return self.counters.count_drop(DropReason::NoHome);
         };
         let key = self.config.peer_key;
         let frame = Frame { body, ..*header };
-        out.push(Destination::Peer(peer.address), |buffer| frame.seal(&key, buffer));
+        cx.out.push(Destination::Peer(peer.address), |buffer| frame.seal(&key, buffer));
     }
 
     fn send_control(&mut self, to: HostId, message: &Control, now_ms: u64, out: &mut Outbox) {
@@ -410,7 +404,7 @@
             target: IpAddr::V6(std::net::Ipv6Addr::UNSPECIFIED),
             body: &[],
         };
-        self.send_frame(&view, to, &header, &body, out);
+        self.send_frame(to, &header, &body, &mut Context { view: &view, now_ms, out });
     }
 
     fn note_time(&mut self, now_ms: u64, out: &mut Outbox) {
--- a/crates/host/src/traffic/moves.rs
+++ b/crates/host/src/traffic/moves.rs
@@ -3,8 +3,8 @@
 use routing::HostId;
 
 use crate::{
-    Counter, Outbox, View,
-    traffic::{Packet, Traffic},
+    Counter, View,
+    traffic::{Context, Packet, Traffic},
 };
 use wire::{Frame, FrameKind};
 
@@ -155,39 +155,35 @@
     /// Answers a host that believes to be the new home of the packet's bucket.
     pub(super) fn answer_asker(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
-        self.moves.add_override(packet.bucket, frame.sender, now_ms);
+        self.moves.add_override(packet.bucket, frame.sender, cx.now_ms);
         if self.pins.get(packet.hash).is_some_and(|pin| pin.state != routing::PinState::Waiting) {
-            self.at_home_pinned(view, packet, bytes, now_ms, out);
+            self.at_home_pinned(packet, bytes, cx);
             self.replication.queue(frame.sender, packet.hash);
             return;
         }
-        let header = self.header(FrameKind::NoPin, frame.hops + 1, packet, now_ms);
-        self.send_frame(view, frame.sender, &header, bytes, out);
+        let header = self.header(FrameKind::NoPin, frame.hops + 1, packet, cx.now_ms);
+        self.send_frame(frame.sender, &header, bytes, cx);
     }
 
     /// Sends a packet without a pin to an earlier holder of its bucket, if there is one.
     pub(super) fn ask_holder(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &[u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) -> bool {
         let Some(holder) = self.moves.holder(packet.bucket) else { return false };
-        if !view.can_be_asked(holder) {
+        if !cx.view.can_be_asked(holder) {
             return false;
         }
         self.counters.count(Counter::AskedHolder);
-        let header = self.header(FrameKind::AskHolder, 1, packet, now_ms);
-        self.send_frame(view, holder, &header, bytes, out);
+        let header = self.header(FrameKind::AskHolder, 1, packet, cx.now_ms);
+        self.send_frame(holder, &header, bytes, cx);
         true
     }
 }
--- a/crates/host/src/traffic/opener.rs
+++ b/crates/host/src/traffic/opener.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Outbox, View,
-    traffic::{Direction, Packet, PacketMap, Traffic, packet_of},
+    traffic::{Context, Direction, Packet, PacketMap, Traffic, packet_of},
 };
 
 /// The hop count of an opening that has been to every opener and now waits at the first.
@@ -113,35 +113,33 @@
 
     pub(super) fn on_ask_opener(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         if self.frozen_incarnation.is_some() {
             return;
         }
-        let openers = self.openers_from(view, frame.origin, packet);
+        let openers = self.openers_from(cx.view, frame.origin, packet);
         let is_last = openers.len() <= 1 || frame.hops == HOPS_FINAL;
         let wait = if is_last { Wait::Yes } else { Wait::No };
         let is_named = !frame.target.is_unspecified();
         let avoid = is_named.then_some(frame.target);
         let opening = Opening { avoid, ..opening_of(packet, frame.origin) };
-        let pool = self.pool_for(view, packet, now_ms);
-        match pool.open(&opening, wait, now_ms) {
+        let pool = self.pool_for(cx.view, packet, cx.now_ms);
+        match pool.open(&opening, wait, cx.now_ms) {
             Verdict::Granted(target) => {
-                self.grant(view, frame.origin, packet, bytes, target, now_ms, out);
+                self.grant(frame.origin, packet, bytes, target, cx);
             }
             Verdict::Waiting => {
                 self.openers.parked.insert(packet.hash, bytes.to_vec());
             }
             Verdict::Refused(refusal) if is_last => {
-                self.refuse(view, frame.origin, packet, bytes, refusal, now_ms, out);
+                self.refuse(frame.origin, packet, bytes, refusal, cx);
             }
             Verdict::Refused(_) => {
-                self.spill(view, &openers, frame, packet, bytes, now_ms, out);
+                self.spill(&openers, frame, packet, bytes, cx);
             }
         }
     }
@@ -157,13 +155,11 @@
 
     fn spill(
         &mut self,
-        view: &View,
         openers: &[HostId],
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let next = usize::from(frame.hops) + 1;
         let (to, hops) = match openers.get(next) {
@@ -173,46 +169,37 @@
         let header = Frame {
             hops,
             origin: frame.origin,
-            ..self.header(FrameKind::AskOpener, hops, packet, now_ms)
+            ..self.header(FrameKind::AskOpener, hops, packet, cx.now_ms)
         };
         if to == self.me {
-            return self.on_ask_opener(view, &header, packet, bytes, now_ms, out);
+            return self.on_ask_opener(&header, packet, bytes, cx);
         }
-        self.send_frame(view, to, &header, bytes, out);
+        self.send_frame(to, &header, bytes, cx);
     }
 
     pub(super) fn on_close_frame(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let opening = opening_of(packet, frame.origin);
-        let service_seed = service_seed(view, packet);
+        let service_seed = service_seed(cx.view, packet);
         let mut outcomes = Vec::new();
         if let Some(pool) = self.openers.get(service_seed) {
-            pool.close(&opening, frame.target, now_ms);
-            pool.drain(now_ms, &mut outcomes);
+            pool.close(&opening, frame.target, cx.now_ms);
+            pool.drain(cx.now_ms, &mut outcomes);
         }
-        self.send_to_caller(view, packet, bytes, out);
-        self.tell_outcomes(view, &outcomes, now_ms, out);
+        self.send_to_caller(packet, bytes, cx);
+        self.tell_outcomes(&outcomes, cx);
     }
 
-    pub(super) fn on_released(
-        &mut self,
-        view: &View,
-        frame: &Frame<'_>,
-        body: &[u8],
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn on_released(&mut self, frame: &Frame<'_>, body: &[u8], cx: &mut Context<'_>) {
         let Ok(hash) = <[u8; 16]>::try_from(body) else { return };
         let hash = FlowHash(u128::from_be_bytes(hash));
-        let Some(listener) = view.settings.find_key(frame.listener_key) else { return };
-        let service_seed = view.settings.service(listener.service).seed;
+        let Some(listener) = cx.view.settings.find_key(frame.listener_key) else { return };
+        let service_seed = cx.view.settings.service(listener.service).seed;
         let opening = Opening {
             hash,
             caller: frame.target,
@@ -224,29 +211,27 @@
         let mut outcomes = Vec::new();
         if let Some(pool) = self.openers.get(service_seed) {
             pool.cancel(hash);
-            pool.close(&opening, frame.target, now_ms);
-            pool.drain(now_ms, &mut outcomes);
+            pool.close(&opening, frame.target, cx.now_ms);
+            pool.drain(cx.now_ms, &mut outcomes);
         }
-        self.tell_outcomes(view, &outcomes, now_ms, out);
+        self.tell_outcomes(&outcomes, cx);
     }
 
     pub(super) fn on_failed_frame(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let opening = opening_of(packet, frame.origin);
-        let pool = self.pool_for(view, packet, now_ms);
-        if !pool.fail(&opening, frame.target, now_ms) {
+        let pool = self.pool_for(cx.view, packet, cx.now_ms);
+        if !pool.fail(&opening, frame.target, cx.now_ms) {
             let refusal = Refusal::NoTarget;
-            return self.refuse(view, frame.origin, packet, bytes, refusal, now_ms, out);
+            return self.refuse(frame.origin, packet, bytes, refusal, cx);
         }
-        let jitter_ms = mix(packet.hash.seed(), now_ms) % RETRY_DELAY_MS;
-        let due_ms = now_ms + RETRY_DELAY_MS + jitter_ms;
+        let jitter_ms = mix(packet.hash.seed(), cx.now_ms) % RETRY_DELAY_MS;
+        let due_ms = cx.now_ms + RETRY_DELAY_MS + jitter_ms;
         self.openers.parked.insert(packet.hash, bytes.to_vec());
         self.openers.delayed.push(Delayed {
             due_ms,
@@ -268,23 +253,28 @@
                 target: entry.failed,
                 ..self.header(FrameKind::AskOpener, 0, &packet, now_ms)
             };
-            self.on_ask_opener(&view, &header, &packet, &mut bytes, now_ms, out);
+            self.on_ask_opener(
+                &header,
+                &packet,
+                &mut bytes,
+                &mut Context { view: &view, now_ms, out },
+            );
         }
         let outcomes: Vec<Outcome> =
             self.openers.pools.iter_mut().flat_map(|entry| entry.pool.tick(now_ms)).collect();
-        self.tell_outcomes(&view, &outcomes, now_ms, out);
+        self.tell_outcomes(&outcomes, &mut Context { view: &view, now_ms, out });
     }
 
-    fn tell_outcomes(&mut self, view: &View, outcomes: &[Outcome], now_ms: u64, out: &mut Outbox) {
+    fn tell_outcomes(&mut self, outcomes: &[Outcome], cx: &mut Context<'_>) {
         for outcome in outcomes {
             let Some(mut bytes) = self.openers.parked.remove(&outcome.hash) else { continue };
-            let Some(packet) = self.reparse(view, &bytes) else { continue };
+            let Some(packet) = self.reparse(cx.view, &bytes) else { continue };
             match outcome.verdict {
                 Verdict::Granted(target) => {
-                    self.grant(view, outcome.home, &packet, &mut bytes, target, now_ms, out);
+                    self.grant(outcome.home, &packet, &mut bytes, target, cx);
                 }
                 Verdict::Refused(refusal) => {
-                    self.refuse(view, outcome.home, &packet, &mut bytes, refusal, now_ms, out);
+                    self.refuse(outcome.home, &packet, &mut bytes, refusal, cx);
                 }
                 Verdict::Waiting => {}
             }
@@ -293,36 +283,32 @@
 
     fn grant(
         &mut self,
-        view: &View,
         origin: HostId,
         packet: &Packet,
         bytes: &mut [u8],
         target: IpAddr,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
-        let header = Frame { target, ..self.header(FrameKind::Granted, 0, packet, now_ms) };
+        let header = Frame { target, ..self.header(FrameKind::Granted, 0, packet, cx.now_ms) };
         if origin == self.me {
-            return self.on_granted(view, &header, packet, bytes, now_ms, out);
+            return self.on_granted(&header, packet, bytes, cx);
         }
-        self.send_frame(view, origin, &header, bytes, out);
+        self.send_frame(origin, &header, bytes, cx);
     }
 
     fn refuse(
         &mut self,
-        view: &View,
         origin: HostId,
         packet: &Packet,
         bytes: &mut [u8],
         refusal: Refusal,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
-        let header = self.header(FrameKind::Refused, refusal_number(refusal), packet, now_ms);
+        let header = self.header(FrameKind::Refused, refusal_number(refusal), packet, cx.now_ms);
         if origin == self.me {
-            return self.on_refused(view, &header, packet, bytes, now_ms, out);
+            return self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out);
         }
-        self.send_frame(view, origin, &header, bytes, out);
+        self.send_frame(origin, &header, bytes, cx);
     }
 
     fn pool_for(&mut self, view: &View, packet: &Packet, now_ms: u64) -> &mut Pool {
--- a/crates/host/src/traffic/opening.rs
+++ b/crates/host/src/traffic/opening.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Counter, Outbox, TrafficEvent, View,
-    traffic::{Packet, Traffic},
+    traffic::{Context, Packet, Traffic},
 };
 
 /// How long a target may take to answer an opening, in milliseconds.
@@ -46,11 +46,9 @@
 impl Traffic {
     pub(super) fn start_opening(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         // A target might run data that comes with an opening, after which no refusal is truthful.
         if packet.view.tcp.is_some() && packet.view.payload_len > 0 {
@@ -65,60 +63,50 @@
         let pin = Pin {
             target: TARGET_NONE,
             state: PinState::Waiting,
-            ..self.new_pin(packet, unspecified, now_ms)
+            ..self.new_pin(packet, unspecified, cx.now_ms)
         };
         self.pins.insert(pin);
-        let started = Started { packet: bytes.to_vec(), started_at_ms: now_ms, sent_at_ms: None };
+        let started =
+            Started { packet: bytes.to_vec(), started_at_ms: cx.now_ms, sent_at_ms: None };
         self.openings.started.insert(packet.hash, started);
-        self.ask_opener(view, packet, bytes, now_ms, out);
+        self.ask_opener(packet, bytes, cx);
     }
 
     /// The caller repeated an opening that still waits for its target.
     pub(super) fn repeat_request(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
-        self.ask_opener(view, packet, bytes, now_ms, out);
+        self.ask_opener(packet, bytes, cx);
     }
 
-    fn ask_opener(
-        &mut self,
-        view: &View,
-        packet: &Packet,
-        bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
-        let service = view.settings.listener(packet.listener).service;
-        let openers = view.openers_for(service, packet.hash, view.domain_seed);
-        let header = self.header(FrameKind::AskOpener, 0, packet, now_ms);
+    fn ask_opener(&mut self, packet: &Packet, bytes: &mut [u8], cx: &mut Context<'_>) {
+        let service = cx.view.settings.listener(packet.listener).service;
+        let openers = cx.view.openers_for(service, packet.hash, cx.view.domain_seed);
+        let header = self.header(FrameKind::AskOpener, 0, packet, cx.now_ms);
         match openers.first() {
             Some(opener) if *opener == self.me => {
-                self.on_ask_opener(view, &header, packet, bytes, now_ms, out);
+                self.on_ask_opener(&header, packet, bytes, cx);
             }
-            Some(opener) => self.send_frame(view, *opener, &header, bytes, out),
-            None => self.on_refused(view, &header, packet, bytes, now_ms, out),
+            Some(opener) => self.send_frame(*opener, &header, bytes, cx),
+            None => self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out),
         }
     }
 
     pub(super) fn on_granted(
         &mut self,
-        view: &View,
         frame: &Frame<'_>,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let pinned = self.pins.get(packet.hash).copied();
         let Some(pin) = pinned.filter(|pin| pin.state == PinState::Waiting) else {
             let present = pinned.and_then(|pin| self.directory.address(pin.target));
             if present != Some(frame.target) {
-                self.release(view, packet, frame.target, now_ms, out);
+                self.release(packet, frame.target, cx);
             }
             return;
         };
@@ -126,22 +114,22 @@
         let state = if is_tcp { PinState::Opening } else { PinState::Established };
         let target = self.directory.intern(frame.target);
         // The time in the queue is no part of the flow's age, by which openers count it.
-        let opened_at_ds = self.clock_ds(now_ms);
+        let opened_at_ds = self.clock_ds(cx.now_ms);
         self.pins.insert(Pin { target, state, opened_at_ds, ..pin });
         let started_at_ms =
-            self.openings.started.get(&packet.hash).map_or(now_ms, |entry| entry.started_at_ms);
+            self.openings.started.get(&packet.hash).map_or(cx.now_ms, |entry| entry.started_at_ms);
         if let Some(started) = self.openings.started.get_mut(&packet.hash) {
-            started.sent_at_ms = Some(now_ms);
+            started.sent_at_ms = Some(cx.now_ms);
         }
         if !is_tcp {
             self.openings.remove(packet.hash);
         }
         self.counters.count(Counter::Opened);
-        out.events.push(TrafficEvent::Opened {
+        cx.out.events.push(TrafficEvent::Opened {
             listener_key: packet.listener_key,
-            waited_ms: now_ms.saturating_sub(started_at_ms),
+            waited_ms: cx.now_ms.saturating_sub(started_at_ms),
         });
-        self.send_to_target(view, packet, bytes, frame.target, out);
+        self.send_to_target(packet, bytes, frame.target, cx);
     }
 
     /// No target takes the flow. None has seen any of its data, so that a reset is truthful.
@@ -189,67 +177,57 @@
             let pin = self.pins.get(hash).copied();
             let Some(pin) = pin.filter(|pin| pin.state == PinState::Opening) else { continue };
             let Some(packet) = self.reparse(&view, &bytes) else { continue };
-            self.retry_opening(&view, &packet, &mut bytes, &pin, now_ms, out);
+            self.retry_opening(
+                &packet,
+                &mut bytes,
+                &pin,
+                &mut Context { view: &view, now_ms, out },
+            );
         }
     }
 
     /// The target refused the opening: another one may take it.
-    pub(super) fn retry_refused(
-        &mut self,
-        view: &View,
-        packet: &Packet,
-        pin: &Pin,
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn retry_refused(&mut self, packet: &Packet, pin: &Pin, cx: &mut Context<'_>) {
         let Some(started) = self.openings.started.get(&packet.hash) else {
-            return self.close_pin(view, packet, now_ms, out);
+            return self.close_pin(packet, cx);
         };
         let mut bytes = started.packet.clone();
         let Ok(parsed) = PacketView::parse(&bytes) else { return };
         let opening = Packet { view: parsed, direction: super::Direction::Forward, ..*packet };
-        self.retry_opening(view, &opening, &mut bytes, pin, now_ms, out);
+        self.retry_opening(&opening, &mut bytes, pin, cx);
     }
 
     /// Asks for another target in place of one that refused or never answered.
     pub(super) fn retry_opening(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         pin: &Pin,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let Some(target) = self.directory.address(pin.target) else { return };
         let attempts = pin.attempts + 1;
         let waiting = Pin { target: TARGET_NONE, state: PinState::Waiting, attempts, ..*pin };
         self.pins.insert(waiting);
         if attempts > RETRIES_MAX {
-            self.release(view, packet, target, now_ms, out);
-            let header = self.header(FrameKind::Refused, 0, packet, now_ms);
-            return self.on_refused(view, &header, packet, bytes, now_ms, out);
+            self.release(packet, target, cx);
+            let header = self.header(FrameKind::Refused, 0, packet, cx.now_ms);
+            return self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out);
         }
         self.counters.count(Counter::Retried);
-        let header = Frame { target, ..self.header(FrameKind::Failed, 0, packet, now_ms) };
-        match self.opener_of_target(view, packet, target) {
+        let header = Frame { target, ..self.header(FrameKind::Failed, 0, packet, cx.now_ms) };
+        match self.opener_of_target(cx.view, packet, target) {
             Some(opener) if opener != self.me => {
-                self.send_frame(view, opener, &header, bytes, out);
+                self.send_frame(opener, &header, bytes, cx);
             }
-            Some(_) => self.on_failed_frame(view, &header, packet, bytes, now_ms, out),
-            None => self.on_refused(view, &header, packet, bytes, now_ms, out),
+            Some(_) => self.on_failed_frame(&header, packet, bytes, cx),
+            None => self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out),
         }
     }
 
     /// Ends a flow on the caller's side: its slot is free and the pin fades.
-    pub(super) fn close_pin(
-        &mut self,
-        view: &View,
-        packet: &Packet,
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
-        let clock_ds = self.clock_ds(now_ms);
+    pub(super) fn close_pin(&mut self, packet: &Packet, cx: &mut Context<'_>) {
+        let clock_ds = self.clock_ds(cx.now_ms);
         let Some(pin) = self.pins.get_mut(packet.hash) else { return };
         let was = *pin;
         pin.state = PinState::Closing;
@@ -263,63 +241,54 @@
             self.pins.remove(packet.hash);
         }
         let target = target.unwrap_or(IpAddr::V6(Ipv6Addr::UNSPECIFIED));
-        self.release(view, packet, target, now_ms, out);
-        self.copy_closing(view, &was, now_ms);
-        self.note_closed(&was, now_ms, out);
+        self.release(packet, target, cx);
+        self.copy_closing(cx.view, &was, cx.now_ms);
+        self.note_closed(&was, cx.now_ms, cx.out);
     }
 
     /// Ends a flow on the target's side, and passes the target's packet on.
     pub(super) fn close_target(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         pin: &Pin,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         if pin.state == PinState::Closing {
-            return self.send_to_caller(view, packet, bytes, out);
+            return self.send_to_caller(packet, bytes, cx);
         }
-        let clock_ds = self.clock_ds(now_ms);
+        let clock_ds = self.clock_ds(cx.now_ms);
         if let Some(stored) = self.pins.get_mut(packet.hash) {
             stored.state = PinState::Closing;
             stored.progress_at_ds = clock_ds;
         }
         self.openings.remove(packet.hash);
-        self.copy_closing(view, pin, now_ms);
-        self.note_closed(pin, now_ms, out);
+        self.copy_closing(cx.view, pin, cx.now_ms);
+        self.note_closed(pin, cx.now_ms, cx.out);
         let Some(target) = self.directory.address(pin.target) else { return };
-        let header = Frame { target, ..self.header(FrameKind::Close, 0, packet, now_ms) };
-        match self.opener_of_target(view, packet, target) {
+        let header = Frame { target, ..self.header(FrameKind::Close, 0, packet, cx.now_ms) };
+        match self.opener_of_target(cx.view, packet, target) {
             Some(opener) if opener != self.me => {
-                self.send_frame(view, opener, &header, bytes, out);
+                self.send_frame(opener, &header, bytes, cx);
             }
-            Some(_) => self.on_close_frame(view, &header, packet, bytes, now_ms, out),
-            None => self.send_to_caller(view, packet, bytes, out),
+            Some(_) => self.on_close_frame(&header, packet, bytes, cx),
+            None => self.send_to_caller(packet, bytes, cx),
         }
     }
 
     /// Tells the opener that a flow is over when there is no packet to carry the news.
-    pub(super) fn release(
-        &mut self,
-        view: &View,
-        packet: &Packet,
-        target: IpAddr,
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
-        let header = Frame { target, ..self.header(FrameKind::Released, 0, packet, now_ms) };
+    pub(super) fn release(&mut self, packet: &Packet, target: IpAddr, cx: &mut Context<'_>) {
+        let header = Frame { target, ..self.header(FrameKind::Released, 0, packet, cx.now_ms) };
         let body = packet.hash.0.to_be_bytes();
-        let service = view.settings.listener(packet.listener).service;
-        let opener = self
-            .opener_of_target(view, packet, target)
-            .or_else(|| view.openers_for(service, packet.hash, view.domain_seed).first().copied());
+        let service = cx.view.settings.listener(packet.listener).service;
+        let opener = self.opener_of_target(cx.view, packet, target).or_else(|| {
+            cx.view.openers_for(service, packet.hash, cx.view.domain_seed).first().copied()
+        });
         match opener {
             Some(opener) if opener != self.me => {
-                self.send_frame(view, opener, &header, &body, out);
+                self.send_frame(opener, &header, &body, cx);
             }
-            Some(_) => self.on_released(view, &header, &body, now_ms, out),
+            Some(_) => self.on_released(&header, &body, cx),
             None => {}
         }
     }
--- a/crates/host/src/traffic/replication.rs
+++ b/crates/host/src/traffic/replication.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Counter, Outbox, View,
-    traffic::{TICK_MS, Traffic},
+    traffic::{Context, TICK_MS, Traffic},
 };
 
 /// How many pins one message carries at most.
@@ -197,12 +197,13 @@
                 self.send_control(host, &Control::Pins { sequence, pins }, now_ms, out);
             }
         }
-        self.tell_done(&view, now_ms, out);
+        self.tell_done(&mut Context { view: &view, now_ms, out });
     }
 
     // A joining host waits for every owner to say that it has handed everything over.
-    fn tell_done(&mut self, view: &View, now_ms: u64, out: &mut Outbox) {
-        let joining: Vec<(HostId, u64)> = view
+    fn tell_done(&mut self, cx: &mut Context<'_>) {
+        let joining: Vec<(HostId, u64)> = cx
+            .view
             .peers
             .iter()
             .filter(|peer| peer.state == membership::MemberState::Joining && peer.id != self.me)
@@ -212,11 +213,11 @@
             let position = self.replication.position_or_add(host);
             let receiver = &mut self.replication.receivers[position];
             let is_done = receiver.queue.is_empty() && receiver.in_flight.is_none();
-            if !is_done || now_ms < receiver.next_done_at_ms {
+            if !is_done || cx.now_ms < receiver.next_done_at_ms {
                 continue;
             }
-            receiver.next_done_at_ms = now_ms + DONE_INTERVAL_MS.max(TICK_MS);
-            self.send_control(host, &Control::TransferDone { incarnation }, now_ms, out);
+            receiver.next_done_at_ms = cx.now_ms + DONE_INTERVAL_MS.max(TICK_MS);
+            self.send_control(host, &Control::TransferDone { incarnation }, cx.now_ms, cx.out);
         }
     }
 
--- a/crates/host/src/traffic/search.rs
+++ b/crates/host/src/traffic/search.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Counter, Outbox, View,
-    traffic::{Direction, Packet, Traffic},
+    traffic::{Context, Direction, Packet, Traffic},
 };
 
 /// How long a target may take to reset a flow that it does not know, in milliseconds.
@@ -106,12 +106,10 @@
     /// Starts a search.
     pub(super) fn start_search(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         first: FirstTry,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         if self.searches.searches.len() >= self.config.searches_max
             || self.pins.len() >= self.config.pins_max
@@ -119,13 +117,13 @@
             return self.counters.count_drop(DropReason::Full);
         }
         let Some(tcp) = packet.view.tcp else { return };
-        let candidates = candidates(view, packet, first);
+        let candidates = candidates(cx.view, packet, first);
         let Some(first) = candidates.first().map(|candidate| candidate.target) else {
             return self.counters.count_drop(DropReason::NoTarget);
         };
         self.counters.count(Counter::Searched);
         self.openings.remove(packet.hash);
-        let pin = Pin { state: PinState::Searching, ..self.new_pin(packet, first, now_ms) };
+        let pin = Pin { state: PinState::Searching, ..self.new_pin(packet, first, cx.now_ms) };
         self.pins.insert(pin);
         let search = Search {
             candidates,
@@ -133,79 +131,75 @@
             packet: bytes.to_vec(),
             sequence: tcp.sequence,
             payload_len: packet.view.payload_len,
-            sent_at_ms: now_ms,
+            sent_at_ms: cx.now_ms,
             has_advanced: false,
             exhausted_at_ms: None,
         };
         self.searches.searches.insert(packet.hash, search);
-        self.send_to_target(view, packet, bytes, first, out);
+        self.send_to_target(packet, bytes, first, cx);
     }
 
     pub(super) fn forward_searching(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         let Some(tcp) = packet.view.tcp else { return };
         let Some(search) = self.searches.searches.get_mut(&packet.hash) else {
             self.set_state(packet, PinState::Established);
-            return self.at_home_pinned(view, packet, bytes, now_ms, out);
+            return self.at_home_pinned(packet, bytes, cx);
         };
-        if search.is_paused(now_ms) {
+        if search.is_paused(cx.now_ms) {
             return self.counters.count_drop(DropReason::NoTarget);
         }
         let target = search.candidates[search.current].target;
         if search.next().is_none() {
-            search.candidates = candidates(view, packet, FirstTry::Any);
+            search.candidates = candidates(cx.view, packet, FirstTry::Any);
             search.packet = bytes.to_vec();
             search.sequence = tcp.sequence;
             search.payload_len = packet.view.payload_len;
-            return self.search_next(view, packet, now_ms, out);
+            return self.search_next(packet, cx);
         }
         if tcp.flags.rst {
             self.searches.searches.remove(&packet.hash);
-            self.close_pin(view, packet, now_ms, out);
-            return self.send_to_target(view, packet, bytes, target, out);
+            self.close_pin(packet, cx);
+            return self.send_to_target(packet, bytes, target, cx);
         }
         // Data tells more than the acknowledgement that the search may have begun with.
         if search.payload_len == 0 && packet.view.payload_len > 0 {
             search.packet = bytes.to_vec();
             search.sequence = tcp.sequence;
             search.payload_len = packet.view.payload_len;
-            search.sent_at_ms = now_ms;
-            return self.send_to_target(view, packet, bytes, target, out);
+            search.sent_at_ms = cx.now_ms;
+            return self.send_to_target(packet, bytes, target, cx);
         }
         let is_repeated = packet.view.payload_len > 0
             && tcp.sequence == search.sequence
-            && now_ms >= search.sent_at_ms + RESET_WITHIN_MS;
+            && cx.now_ms >= search.sent_at_ms + RESET_WITHIN_MS;
         if is_repeated {
             search.candidates[search.current].finding = Finding::NoAnswer;
-            return self.search_next(view, packet, now_ms, out);
+            return self.search_next(packet, cx);
         }
         let offset = tcp.sequence.wrapping_sub(search.sequence);
         search.has_advanced |= packet.view.payload_len > 0 && offset > 0 && offset < 1 << 31;
-        self.send_to_target(view, packet, bytes, target, out);
+        self.send_to_target(packet, bytes, target, cx);
     }
 
     pub(super) fn return_searching(
         &mut self,
-        view: &View,
         packet: &Packet,
         bytes: &mut [u8],
         tcp: &TcpView,
         target: IpAddr,
-        now_ms: u64,
-        out: &mut Outbox,
+        cx: &mut Context<'_>,
     ) {
         if !tcp.flags.rst {
             // Only the owner of the flow sends this.
             self.searches.searches.remove(&packet.hash);
             self.counters.count(Counter::Found);
             self.pins.remove(packet.hash);
-            return self.adopt(view, packet, bytes, tcp, target, now_ms, out);
+            return self.adopt(packet, bytes, tcp, target, cx);
         }
         let Some(search) = self.searches.searches.get_mut(&packet.hash) else { return };
         let is_current = search.candidates[search.current].target == target;
@@ -216,24 +210,24 @@
             return;
         }
         if search.next().is_some() {
-            return self.search_next(view, packet, now_ms, out);
+            return self.search_next(packet, cx);
         }
         // This host's settings may be older than the flow's target; a second round will know it.
         if search.exhausted_at_ms.is_none() {
-            search.exhausted_at_ms = Some(now_ms);
+            search.exhausted_at_ms = Some(cx.now_ms);
             return;
         }
         self.searches.searches.remove(&packet.hash);
         self.counters.count(Counter::Lost);
-        self.close_pin(view, packet, now_ms, out);
-        self.send_to_caller(view, packet, bytes, out);
+        self.close_pin(packet, cx);
+        self.send_to_caller(packet, bytes, cx);
     }
 
-    fn search_next(&mut self, view: &View, packet: &Packet, now_ms: u64, out: &mut Outbox) {
+    fn search_next(&mut self, packet: &Packet, cx: &mut Context<'_>) {
         let Some(search) = self.searches.searches.get_mut(&packet.hash) else { return };
         let Some(next) = search.next() else { return };
         search.current = next;
-        search.sent_at_ms = now_ms;
+        search.sent_at_ms = cx.now_ms;
         search.has_advanced = false;
         let target = search.candidates[next].target;
         let mut bytes = search.packet.clone();
@@ -243,7 +237,7 @@
         }
         let Ok(parsed) = flow::PacketView::parse(&bytes) else { return };
         let forward = Packet { view: parsed, direction: Direction::Forward, ..*packet };
-        self.send_to_target(view, &forward, &mut bytes, target, out);
+        self.send_to_target(&forward, &mut bytes, target, cx);
     }
 
     /// Ends searches whose target has kept the flow.
--- a/crates/host/src/traffic/sweep.rs
+++ b/crates/host/src/traffic/sweep.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     Outbox, TrafficEvent, View,
-    traffic::{Direction, Packet, Traffic, replication::is_worth_copying, report::occupies_target},
+    traffic::{
+        Context, Direction, Packet, Traffic, replication::is_worth_copying, report::occupies_target,
+    },
 };
 
 /// In how many ticks the whole table is looked at.
@@ -42,31 +44,24 @@
         for _ in 0..count {
             let block = self.sweep.next_block % block_count;
             self.sweep.next_block = block + 1;
-            self.sweep_block(&view, block, is_leaving, now_ms, out);
+            self.sweep_block(block, is_leaving, &mut Context { view: &view, now_ms, out });
         }
         if is_leaving && self.replication.is_idle() {
             out.events.push(TrafficEvent::HandedOver);
         }
     }
 
-    fn sweep_block(
-        &mut self,
-        view: &View,
-        block: usize,
-        is_leaving: bool,
-        now_ms: u64,
-        out: &mut Outbox,
-    ) {
+    fn sweep_block(&mut self, block: usize, is_leaving: bool, cx: &mut Context<'_>) {
         let actions: Vec<(FlowHash, Action)> = self
             .pins
             .block(block)
-            .filter_map(|pin| Some((pin.hash, self.action(view, pin, is_leaving, now_ms)?)))
+            .filter_map(|pin| Some((pin.hash, self.action(cx.view, pin, is_leaving, cx.now_ms)?)))
             .collect();
         for (hash, action) in actions {
             match action {
-                Action::Copy => self.queue_copy(view, hash, now_ms),
+                Action::Copy => self.queue_copy(cx.view, hash, cx.now_ms),
                 Action::Remove => self.remove_pin(hash),
-                Action::Release => self.release_pin(view, hash, now_ms, out),
+                Action::Release => self.release_pin(hash, cx),
             }
         }
     }
@@ -103,29 +98,28 @@
         self.openings.remove(hash);
     }
 
-    fn release_pin(&mut self, view: &View, hash: FlowHash, now_ms: u64, out: &mut Outbox) {
+    fn release_pin(&mut self, hash: FlowHash, cx: &mut Context<'_>) {
         let Some(pin) = self.pins.get(hash).copied() else { return };
         self.remove_pin(hash);
         let target = self.directory.address(pin.target);
-        let listener = view
-            .settings
-            .find_key(pin.listener_key)
-            .and_then(|listener| view.settings.find_listener(listener.protocol, listener.address));
+        let listener = cx.view.settings.find_key(pin.listener_key).and_then(|listener| {
+            cx.view.settings.find_listener(listener.protocol, listener.address)
+        });
         if let (Some(target), Some(listener)) = (target, listener)
             && occupies_target(&pin)
         {
-            let address = view.settings.listener(listener).address;
+            let address = cx.view.settings.listener(listener).address;
             let packet = Packet {
                 view: empty_view(address),
                 hash,
-                bucket: hash.bucket(view.placement.bucket_count()),
+                bucket: hash.bucket(cx.view.placement.bucket_count()),
                 listener,
                 listener_key: pin.listener_key,
                 direction: Direction::Forward,
             };
-            self.release(view, &packet, target, now_ms, out);
+            self.release(&packet, target, cx);
         }
-        self.note_closed(&pin, now_ms, out);
+        self.note_closed(&pin, cx.now_ms, cx.out);
     }
 }
 
--- a/crates/wagtailstalld/src/control_thread.rs
+++ b/crates/wagtailstalld/src/control_thread.rs
@@ -47,7 +47,7 @@
         executor: executor.clone(),
     };
     state.control.borrow_mut().set_seeds(&shared.settings.seed_addresses);
-    telemetry::emit(Event::Started, &[field("peer_address", &shared.settings.peer_address)]);
+    telemetry::emit(Event::Started, &[field("peer_address", shared.settings.peer_address)]);
     smol::block_on(executor.run(async {
         let admin = admin::listen(&state).await?;
         let peers = peer_rpc::listen(&state).await?;
@@ -99,7 +99,7 @@
         let is_taken = self.control.borrow_mut().on_settings(snapshot, clock::now_ms(), &mut out);
         if is_taken {
             retain_used(&root, tree, &mut blobs);
-            telemetry::emit(Event::SettingsInForce, &[field("revision", &root.revision)]);
+            telemetry::emit(Event::SettingsInForce, &[field("revision", root.revision)]);
             *self.held.borrow_mut() = Held { root: Some(root), blobs };
         }
         self.carry_out(out);
@@ -140,7 +140,7 @@
                 control.on_message(from, sender, &message, now_ms, out);
             }
             TrafficEvent::Frozen { gap_ms } => {
-                telemetry::emit(Event::Frozen, &[field("gap_ms", &gap_ms)]);
+                telemetry::emit(Event::Frozen, &[field("gap_ms", gap_ms)]);
                 control.on_frozen(now_ms, out);
             }
             TrafficEvent::HandedOver => control.on_handed_over(),
@@ -190,7 +190,7 @@
                 if let Err(error) = peer_rpc::fetch(&state, from).await {
                     telemetry::emit(
                         Event::SettingsRejected,
-                        &[field("from", &from), field("cause", &format!("{error:#}"))],
+                        &[field("from", from), field("cause", format!("{error:#}"))],
                     );
                 }
                 state.is_fetching.replace(false);
@@ -214,7 +214,7 @@
         });
         if members != *last_members {
             *last_members = members;
-            telemetry::emit(Event::MembersChanged, &[field("alive", &members)]);
+            telemetry::emit(Event::MembersChanged, &[field("alive", members)]);
         }
     }
 }
--- a/crates/wagtailstalld/src/store_task.rs
+++ b/crates/wagtailstalld/src/store_task.rs
@@ -73,7 +73,7 @@
         let in_force = state.revision();
         telemetry::emit(
             Event::StoreBehind,
-            &[field("store_revision", &root.revision), field("revision", &in_force)],
+            &[field("store_revision", root.revision), field("revision", in_force)],
         );
         return Ok(index);
     }
--- a/crates/wagtailstalld/src/traffic_thread.rs
+++ b/crates/wagtailstalld/src/traffic_thread.rs
@@ -199,6 +199,6 @@
 fn note_failure(sent: io::Result<usize>, _socket: &UdpSocket) {
     let Err(error) = sent else { return };
     if error.kind() != ErrorKind::ConnectionRefused {
-        telemetry::emit(Event::SendFailed, &[field("cause", &error)]);
+        telemetry::emit(Event::SendFailed, &[field("cause", error)]);
     }
 }
