--- a/crates/measures/src/lib.rs
+++ b/crates/measures/src/lib.rs
@@ -7,6 +7,7 @@
 mod breaks;
 mod control;
 mod flood;
+mod imbalance;
 mod placement;
 mod settings_scale;
 mod settings_spread;
@@ -18,6 +19,7 @@
     breaks::{Breaks, Change, Way, breaks},
     control::{ControlCost, PinMemory, control_cost, pin_memory},
     flood::{Flood, FloodFault, FloodPlan, flood, pools_flood},
+    imbalance::{Imbalance, imbalance},
     placement::{PlacementCost, placement_cost},
     settings_scale::{SettingsScale, settings_scale},
     settings_spread::{Spread, spread},
--- a/crates/xtask/src/measure.rs
+++ b/crates/xtask/src/measure.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use eyre::{Result, bail};
 use measures::{
-    Change, Choice, FloodFault, FloodPlan, Way, breaks, control_cost, flood, pin_memory,
+    Change, Choice, FloodFault, FloodPlan, Way, breaks, control_cost, flood, imbalance, pin_memory,
     placement_cost, settings_scale, slot_wait, spread,
 };
 use serde::Serialize;
@@ -27,7 +27,7 @@
 /// A measure: its name and what runs it with a seed.
 type Measure = (&'static str, fn(u64) -> Vec<Value>);
 
-const MEASURES: [Measure; 15] = [
+const MEASURES: [Measure; 16] = [
     ("replace-hosts", |seed| compare(Change::ReplaceHosts, seed)),
     ("move-targets", |seed| compare(Change::MoveTargets, seed)),
     ("kill-host", |seed| compare(Change::KillHost, seed)),
@@ -37,6 +37,12 @@
     ("settings-spread", settings_spread),
     ("settings-scale", |_| scale()),
     ("pins", |_| pins()),
+    ("imbalance", |seed| {
+        [1_500, 15_000, 64_500]
+            .into_iter()
+            .map(|sessions| labelled("homes", &imbalance(sessions, seed)))
+            .collect()
+    }),
     ("slots", slots),
     ("placement", |_| placement()),
     ("flood-low", |seed| floods(2, FloodFault::None, seed)),
