--- a/crates/host/tests/lone_host.rs
+++ b/crates/host/tests/lone_host.rs
@@ -101,3 +101,24 @@
     assert!(host.give(host.opening_packet(1)).is_empty());
     assert_eq!(host.traffic.counters().dropped(DropReason::WrongTarget), 1);
 }
+
+#[test]
+fn forged_resets() {
+    // Resets that fit no window pass to the end that checks them, and the flow goes on.
+    let mut host = LoneHost::new(1);
+    let data = host.data_packet(0);
+    let target = parse(&host.give(data.clone())).destination;
+    let caller = PacketView::parse(&data).unwrap().source;
+    let service = PacketView::parse(&data).unwrap().destination;
+    for (from, to) in [(caller, service), (target, caller)] {
+        let (IpAddr::V4(source), IpAddr::V4(destination)) = (from.ip(), to.ip()) else { panic!() };
+        let mut reset = Vec::new();
+        PacketBuilder::ipv4(source.octets(), destination.octets(), 64)
+            .tcp(from.port(), to.port(), 1 << 30, 0)
+            .rst()
+            .write(&mut reset, &[])
+            .unwrap();
+        assert_eq!(host.give(reset).len(), 1);
+        assert_eq!(parse(&host.give(data.clone())).destination, target);
+    }
+}
--- a/crates/xtask/src/bed.rs
+++ b/crates/xtask/src/bed.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
@@ -84,6 +84,31 @@
         Ok(bed)
     }
 
+    /// Starts the platform and a single host whose fabric is at `fabric`.
+    pub(crate) fn start_one_host(plan: &Plan, fabric: SocketAddr) -> Result<Bed> {
+        let mut bed = Bed {
+            processes: Processes::new()?,
+            hosts: Vec::new(),
+            store_port: free_port()?,
+            peers: plan.peers()?,
+            fabric_port: fabric.port(),
+            upstreams: Vec::new(),
+            plan: plan.clone(),
+        };
+        bed.peers.truncate(1);
+        bed.start_platform()?;
+        bed.start_hosts()?;
+        bed.wait_until_ready()?;
+        Ok(bed)
+    }
+
+    /// The data address of the first host.
+    pub(crate) fn data_address(&self) -> Result<SocketAddr> {
+        let Some(host) = self.hosts.first() else { bail!("there is no host") };
+        let settings = read_tree(&host.settings)?;
+        Ok(settings["data_address"].as_str().unwrap_or_default().parse()?)
+    }
+
     /// Starts the callers under `name`.
     pub(crate) fn start_callers(&mut self, name: &str, arguments: &[String]) -> Result<()> {
         let mut all = strings(&["caller", "--fabric", &local(self.fabric_port), "--tree"]);
@@ -215,7 +240,7 @@
         for (domain, _) in object(&tree["failure_domains"]) {
             for number in 1..=self.plan.hosts_per_domain {
                 let name = format!("host-{domain}-{number}");
-                let Some(peer) = peers.next() else { bail!("too few addresses") };
+                let Some(peer) = peers.next() else { return Ok(()) };
                 let admin_port = free_port()?;
                 let settings = directory.join(format!("{name}.json"));
                 let text = json!({
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod processes;
 mod prove;
+mod sockets;
 mod test;
 
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
     Codegen(codegen::Options),
     Measure(measure::Options),
     Prove(prove::Options),
+    Sockets(sockets::Options),
 }
 
 fn main() -> ExitCode {
@@ -50,5 +52,6 @@
         Task::Codegen(options) => codegen::run(options),
         Task::Measure(options) => measure::run(options),
         Task::Prove(options) => prove::run(options),
+        Task::Sockets(options) => sockets::run(options),
     }
 }
--- /dev/null
+++ b/crates/xtask/src/sockets.rs
@@ -0,0 +1,117 @@
+//! Packets a second through one host's real sockets.
+
+use std::{
+    net::{IpAddr, SocketAddr, UdpSocket},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use etherparse::PacketBuilder;
+use eyre::{Result, WrapErr, bail};
+use serde_json::json;
+
+use crate::bed::{Bed, Plan};
+
+/// measure packets a second through one host's real sockets; the last line is one JSON object
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "sockets")]
+pub(crate) struct Options {
+    /// how long to send, in seconds
+    #[argh(option, default = "5")]
+    run_s: u64,
+    /// packets that may be on their way at a time
+    #[argh(option, default = "256")]
+    window: usize,
+}
+
+/// The service address and the caller that the packets belong to.
+const SERVICE: &str = "198.51.100.20:443";
+const CALLER: &str = "172.16.0.1:5000";
+
+/// The initial sequence numbers of caller and target.
+const CALLER_SEQUENCE: u32 = 100;
+const TARGET_SEQUENCE: u32 = 1_000;
+
+/// Runs the measure. This process plays the fabric, the caller and the target.
+pub(crate) fn run(options: &Options) -> Result<()> {
+    let socket = UdpSocket::bind("127.0.0.1:0").wrap_err("no socket")?;
+    socket.set_read_timeout(Some(Duration::from_millis(200)))?;
+    let plan = Plan {
+        tree: PathBuf::from("examples/agency.json"),
+        hosts_per_domain: 1,
+        seed: 1,
+        fabric: Vec::new(),
+    };
+    let bed = Bed::start_one_host(&plan, socket.local_addr()?)?;
+    let host = bed.data_address()?;
+    let mut buffer = vec![0; 2048];
+    open_flow(&socket, host, &mut buffer)?;
+    let data = segment(CALLER, SERVICE, "A", CALLER_SEQUENCE + 1, TARGET_SEQUENCE + 1)?;
+    let started = Instant::now();
+    let (mut sent, mut received) = (0_u64, 0_u64);
+    let mut on_the_way = 0;
+    while started.elapsed() < Duration::from_secs(options.run_s) {
+        while on_the_way < options.window {
+            socket.send_to(&data, host)?;
+            on_the_way += 1;
+            sent += 1;
+        }
+        match receive(&socket, &mut buffer) {
+            Some(_) => {
+                received += 1;
+                on_the_way -= 1;
+            }
+            // What did not come back in time is lost.
+            None => on_the_way = 0,
+        }
+    }
+    let per_s = received as f64 / started.elapsed().as_secs_f64();
+    println!("{}", json!({ "sent": sent, "forwarded": received, "packets_per_s": per_s as u64 }));
+    Ok(())
+}
+
+fn open_flow(socket: &UdpSocket, host: SocketAddr, buffer: &mut [u8]) -> Result<()> {
+    socket.send_to(&segment(CALLER, SERVICE, "S", CALLER_SEQUENCE, 0)?, host)?;
+    let Some(length) = receive(socket, buffer) else { bail!("the opening was not forwarded") };
+    let opening = buffer[..length].to_vec();
+    let view = etherparse::SlicedPacket::from_ip(&opening)?;
+    let (Some(etherparse::NetSlice::Ipv4(ip)), Some(etherparse::TransportSlice::Tcp(tcp))) =
+        (view.net, view.transport)
+    else {
+        bail!("what was forwarded is not TCP over IPv4");
+    };
+    let target = SocketAddr::new(ip.header().destination_addr().into(), tcp.destination_port());
+    let answer = segment(&target.to_string(), CALLER, "SA", TARGET_SEQUENCE, CALLER_SEQUENCE + 1)?;
+    socket.send_to(&answer, host)?;
+    match receive(socket, buffer) {
+        Some(_) => Ok(()),
+        None => bail!("the answer was not forwarded"),
+    }
+}
+
+/// The length of the next IP packet; announcements of the host are passed over.
+fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Option<usize> {
+    const IPV4: u8 = 4;
+    loop {
+        let (length, _) = socket.recv_from(buffer).ok()?;
+        if buffer[0] >> 4 == IPV4 {
+            return Some(length);
+        }
+    }
+}
+
+fn segment(from: &str, to: &str, flags: &str, sequence: u32, ack: u32) -> Result<Vec<u8>> {
+    let (from, to): (SocketAddr, SocketAddr) = (from.parse()?, to.parse()?);
+    let (IpAddr::V4(source), IpAddr::V4(destination)) = (from.ip(), to.ip()) else {
+        bail!("the measure uses IPv4");
+    };
+    let ip = PacketBuilder::ipv4(source.octets(), destination.octets(), 64);
+    let mut tcp = ip.tcp(from.port(), to.port(), sequence, 65_535);
+    tcp = if flags.contains('S') { tcp.syn() } else { tcp };
+    tcp = if flags.contains('A') { tcp.ack(ack) } else { tcp };
+    let payload: &[u8] = if flags == "A" { &[b'x'; 200] } else { &[] };
+    let mut bytes = Vec::new();
+    tcp.write(&mut bytes, payload)?;
+    Ok(bytes)
+}
