Parse headers without an intermediate copy, and tidy the handlers

A packet's headers were sliced into one large value and copied; a search for a target's address went through rows of 120 bytes. Ending a flow without a packet no longer makes up one, unused arguments are gone, and the daemon's status uses the core's own type.

--- a/crates/fakes/src/lone.rs
+++ b/crates/fakes/src/lone.rs
@@ -44,7 +44,7 @@
         let mut control = Control::new(config, membership::Config::default(), now_ms);
         let snapshot = std::sync::Arc::new(Snapshot::compile(tree, 1));
         let mut out = ControlOutput::default();
-        control.on_settings(snapshot, now_ms, &mut out);
+        control.on_settings(snapshot, &mut out);
         let mut outbox = Outbox::default();
         for _ in 0..200 {
             now_ms += 10;
@@ -62,7 +62,7 @@
     pub fn apply(&mut self, tree: &Tree, revision: u64) {
         let snapshot = std::sync::Arc::new(Snapshot::compile(tree, revision));
         let mut out = ControlOutput::default();
-        self.control.on_settings(snapshot, self.now_ms, &mut out);
+        self.control.on_settings(snapshot, &mut out);
         if let Some(view) = out.view {
             self.traffic.on_view(view, self.now_ms, &mut Outbox::default());
         }
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -65,7 +65,7 @@
 
     pub(crate) fn take_settings(&mut self, settings: &Arc<Snapshot>, now_ms: u64) -> Vec<Datagram> {
         let mut out = ControlOutput::default();
-        if self.control.on_settings(settings.clone(), now_ms, &mut out) {
+        if self.control.on_settings(settings.clone(), &mut out) {
             self.settings = Some(settings.clone());
         }
         self.carry_out(out, now_ms)
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -1,8 +1,8 @@
 //! A read-only view of one IP packet.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
-use etherparse::{NetSlice, SlicedPacket, TransportSlice};
+use etherparse::{IpNumber, IpSlice, TcpSlice, UdpSlice};
 
 use crate::{DropReason, Protocol};
 
@@ -74,57 +74,56 @@
     ///
     /// Gives the reason for which the packet has to be dropped.
     pub fn parse(bytes: &[u8]) -> Result<PacketView, DropReason> {
-        let sliced = SlicedPacket::from_ip(bytes).map_err(|_| reason_of(bytes))?;
-        let (source_ip, destination_ip, payload, length) = match &sliced.net {
-            Some(NetSlice::Ipv4(ip)) => {
-                let header = ip.header();
-                let source = IpAddr::V4(header.source_addr());
-                let length = usize::from(header.total_len());
-                (source, IpAddr::V4(header.destination_addr()), ip.payload(), length)
-            }
-            Some(NetSlice::Ipv6(ip)) => {
-                let header = ip.header();
-                let source = IpAddr::V6(header.source_addr());
-                let length = IPV6_HEADER_BYTES + usize::from(header.payload_length());
-                (source, IpAddr::V6(header.destination_addr()), ip.payload(), length)
-            }
-            _ => return Err(DropReason::NotIp),
+        let ip = IpSlice::from_slice(bytes).map_err(|_| reason_of(bytes))?;
+        let length = match &ip {
+            IpSlice::Ipv4(ip) => usize::from(ip.header().total_len()),
+            IpSlice::Ipv6(ip) => IPV6_HEADER_BYTES + usize::from(ip.header().payload_length()),
         };
         // The headers must describe exactly the bytes at hand: trailing bytes would be outside of the
         // checksums that are kept up to date.
         if length != bytes.len() {
             return Err(DropReason::Truncated);
         }
+        let payload = ip.payload();
         if payload.fragmented {
             return Err(DropReason::Fragment);
         }
         let transport_offset = payload.payload.as_ptr() as usize - bytes.as_ptr() as usize;
-        match sliced.transport {
-            Some(TransportSlice::Tcp(tcp)) => Ok(PacketView {
-                protocol: Protocol::Tcp,
-                source: SocketAddr::new(source_ip, tcp.source_port()),
-                destination: SocketAddr::new(destination_ip, tcp.destination_port()),
-                tcp: Some(TcpView {
-                    flags: TcpFlags {
-                        syn: tcp.syn(),
-                        ack: tcp.ack(),
-                        fin: tcp.fin(),
-                        rst: tcp.rst(),
-                    },
-                    sequence: tcp.sequence_number(),
-                    acknowledgement: tcp.acknowledgment_number(),
-                }),
-                transport_offset,
-                payload_len: tcp.payload().len(),
-            }),
-            Some(TransportSlice::Udp(udp)) => Ok(PacketView {
-                protocol: Protocol::Udp,
-                source: SocketAddr::new(source_ip, udp.source_port()),
-                destination: SocketAddr::new(destination_ip, udp.destination_port()),
-                tcp: None,
-                transport_offset,
-                payload_len: udp.payload().len(),
-            }),
+        let (source, destination) = (ip.source_addr(), ip.destination_addr());
+        match payload.ip_number {
+            IpNumber::TCP => {
+                let tcp =
+                    TcpSlice::from_slice(payload.payload).map_err(|_| DropReason::Truncated)?;
+                Ok(PacketView {
+                    protocol: Protocol::Tcp,
+                    source: SocketAddr::new(source, tcp.source_port()),
+                    destination: SocketAddr::new(destination, tcp.destination_port()),
+                    tcp: Some(TcpView {
+                        flags: TcpFlags {
+                            syn: tcp.syn(),
+                            ack: tcp.ack(),
+                            fin: tcp.fin(),
+                            rst: tcp.rst(),
+                        },
+                        sequence: tcp.sequence_number(),
+                        acknowledgement: tcp.acknowledgment_number(),
+                    }),
+                    transport_offset,
+                    payload_len: tcp.payload().len(),
+                })
+            }
+            IpNumber::UDP => {
+                let udp =
+                    UdpSlice::from_slice(payload.payload).map_err(|_| DropReason::Truncated)?;
+                Ok(PacketView {
+                    protocol: Protocol::Udp,
+                    source: SocketAddr::new(source, udp.source_port()),
+                    destination: SocketAddr::new(destination, udp.destination_port()),
+                    tcp: None,
+                    transport_offset,
+                    payload_len: udp.payload().len(),
+                })
+            }
             _ => Err(DropReason::Protocol),
         }
     }
--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -122,12 +122,7 @@
     /// Takes over settings, unless their revision is not above the one in force.
     ///
     /// Returns whether they were taken over.
-    pub fn on_settings(
-        &mut self,
-        settings: Arc<Snapshot>,
-        now_ms: u64,
-        out: &mut ControlOutput,
-    ) -> bool {
+    pub fn on_settings(&mut self, settings: Arc<Snapshot>, out: &mut ControlOutput) -> bool {
         if settings.revision <= self.revision() {
             return false;
         }
@@ -135,7 +130,7 @@
         let revision = self.revision();
         let news = self.membership.broadcast(FANOUT, revision);
         self.send(news, out);
-        self.publish(now_ms, out);
+        self.publish(out);
         true
     }
 
@@ -163,7 +158,7 @@
             Message::TransferDone { incarnation } => self.on_transfer_done(sender, *incarnation),
             _ => {}
         }
-        self.publish(now_ms, out);
+        self.publish(out);
     }
 
     /// Starts a planned stop.
@@ -200,7 +195,7 @@
         let probes = self.membership.tick(now_ms, revision);
         self.send(probes, out);
         self.advance(now_ms, out);
-        self.publish(now_ms, out);
+        self.publish(out);
     }
 
     fn advance(&mut self, now_ms: u64, out: &mut ControlOutput) {
@@ -242,10 +237,10 @@
         let revision = self.revision();
         let news = self.membership.broadcast(FANOUT, revision);
         self.send(news, out);
-        self.publish(now_ms, out);
+        self.publish(out);
     }
 
-    fn publish(&mut self, _now_ms: u64, out: &mut ControlOutput) {
+    fn publish(&mut self, out: &mut ControlOutput) {
         let Some(settings) = self.settings.clone() else { return };
         let version = self.membership.version();
         if version == self.published_version && settings.revision == self.published_revision {
--- a/crates/host/src/traffic/home.rs
+++ b/crates/host/src/traffic/home.rs
@@ -230,7 +230,7 @@
         // here, while the flow goes on at another target.
         if tcp.flags.rst && pin.state == PinState::Answered {
             self.pins.remove(packet.hash);
-            return self.release(packet, target, cx);
+            return self.release(packet.hash, packet.listener, target, cx);
         }
         if tcp.is_answer() {
             self.note_answer(packet, pin, &tcp);
--- a/crates/host/src/traffic/mod.rs
+++ b/crates/host/src/traffic/mod.rs
@@ -229,7 +229,7 @@
                     self.tick_openings(now_ms, out);
                 }
                 System::Replication => self.tick_replication(now_ms, out),
-                System::Searches => self.tick_searches(now_ms, out),
+                System::Searches => self.tick_searches(now_ms),
                 System::Sweep => self.tick_sweep(now_ms, out),
                 System::Reports => self.send_reports(now_ms, out),
             }
@@ -249,7 +249,7 @@
             FrameKind::NoPin => self.at_home_unknown(packet, bytes, cx),
             FrameKind::AskOpener => self.on_ask_opener(frame, packet, bytes, cx),
             FrameKind::Granted => self.on_granted(frame, packet, bytes, cx),
-            FrameKind::Refused => self.on_refused(cx.view, frame, packet, bytes, cx.now_ms, cx.out),
+            FrameKind::Refused => self.on_refused(frame, packet, cx),
             FrameKind::Close => self.on_close_frame(frame, packet, bytes, cx),
             FrameKind::Failed => self.on_failed_frame(frame, packet, bytes, cx),
             FrameKind::Released | FrameKind::Control => {}
@@ -298,7 +298,8 @@
             Some(home) if home == self.me => self.at_home(packet, bytes, cx),
             Some(home) if hops < HOPS_MAX => {
                 self.counters.count(Counter::Relayed);
-                let header = self.header(FrameKind::ToHome, hops + 1, packet, cx.now_ms);
+                let header =
+                    self.header(FrameKind::ToHome, hops + 1, packet.listener_key, cx.now_ms);
                 self.send_frame(home, &header, bytes, cx);
             }
             Some(_) => self.counters.count_drop(DropReason::HopLimit),
@@ -368,11 +369,11 @@
         }
     }
 
-    fn header(&self, kind: FrameKind, hops: u8, packet: &Packet, now_ms: u64) -> Frame<'static> {
+    fn header(&self, kind: FrameKind, hops: u8, listener_key: u32, now_ms: u64) -> Frame<'static> {
         Frame {
             kind,
             hops,
-            listener_key: packet.listener_key,
+            listener_key,
             sender: self.me,
             origin: self.me,
             sent_at_ms: now_ms,
--- a/crates/host/src/traffic/moves.rs
+++ b/crates/host/src/traffic/moves.rs
@@ -166,7 +166,7 @@
             self.replication.queue(frame.sender, packet.hash);
             return;
         }
-        let header = self.header(FrameKind::NoPin, frame.hops + 1, packet, cx.now_ms);
+        let header = self.header(FrameKind::NoPin, frame.hops + 1, packet.listener_key, cx.now_ms);
         self.send_frame(frame.sender, &header, bytes, cx);
     }
 
@@ -182,7 +182,7 @@
             return false;
         }
         self.counters.count(Counter::AskedHolder);
-        let header = self.header(FrameKind::AskHolder, 1, packet, cx.now_ms);
+        let header = self.header(FrameKind::AskHolder, 1, packet.listener_key, cx.now_ms);
         self.send_frame(holder, &header, bytes, cx);
         true
     }
--- a/crates/host/src/traffic/opener.rs
+++ b/crates/host/src/traffic/opener.rs
@@ -169,7 +169,7 @@
         let header = Frame {
             hops,
             origin: frame.origin,
-            ..self.header(FrameKind::AskOpener, hops, packet, cx.now_ms)
+            ..self.header(FrameKind::AskOpener, hops, packet.listener_key, cx.now_ms)
         };
         if to == self.me {
             return self.on_ask_opener(&header, packet, bytes, cx);
@@ -251,7 +251,7 @@
             let header = Frame {
                 origin: entry.origin,
                 target: entry.failed,
-                ..self.header(FrameKind::AskOpener, 0, &packet, now_ms)
+                ..self.header(FrameKind::AskOpener, 0, packet.listener_key, now_ms)
             };
             self.on_ask_opener(
                 &header,
@@ -289,7 +289,8 @@
         target: IpAddr,
         cx: &mut Context<'_>,
     ) {
-        let header = Frame { target, ..self.header(FrameKind::Granted, 0, packet, cx.now_ms) };
+        let header =
+            Frame { target, ..self.header(FrameKind::Granted, 0, packet.listener_key, cx.now_ms) };
         if origin == self.me {
             return self.on_granted(&header, packet, bytes, cx);
         }
@@ -304,9 +305,14 @@
         refusal: Refusal,
         cx: &mut Context<'_>,
     ) {
-        let header = self.header(FrameKind::Refused, refusal_number(refusal), packet, cx.now_ms);
+        let header = self.header(
+            FrameKind::Refused,
+            refusal_number(refusal),
+            packet.listener_key,
+            cx.now_ms,
+        );
         if origin == self.me {
-            return self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out);
+            return self.on_refused(&header, packet, cx);
         }
         self.send_frame(origin, &header, bytes, cx);
     }
--- a/crates/host/src/traffic/opening.rs
+++ b/crates/host/src/traffic/opening.rs
@@ -5,6 +5,7 @@
 use flow::{DropReason, FlowHash, PacketView, reset_from_destination};
 use hashbrown::HashMap;
 use routing::{Pin, PinState, TARGET_NONE};
+use settings::ListenerId;
 use wire::{Frame, FrameKind};
 
 use crate::{
@@ -85,13 +86,13 @@
     fn ask_opener(&mut self, packet: &Packet, bytes: &mut [u8], cx: &mut Context<'_>) {
         let service = cx.view.settings.listener(packet.listener).service;
         let openers = cx.view.openers_for(service, packet.hash, cx.view.domain_seed);
-        let header = self.header(FrameKind::AskOpener, 0, packet, cx.now_ms);
+        let header = self.header(FrameKind::AskOpener, 0, packet.listener_key, cx.now_ms);
         match openers.first() {
             Some(opener) if *opener == self.me => {
                 self.on_ask_opener(&header, packet, bytes, cx);
             }
             Some(opener) => self.send_frame(*opener, &header, bytes, cx),
-            None => self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out),
+            None => self.on_refused(&header, packet, cx),
         }
     }
 
@@ -106,7 +107,7 @@
         let Some(pin) = pinned.filter(|pin| pin.state == PinState::Waiting) else {
             let present = pinned.and_then(|pin| self.directory.address(pin.target));
             if present != Some(frame.target) {
-                self.release(packet, frame.target, cx);
+                self.release(packet.hash, packet.listener, frame.target, cx);
             }
             return;
         };
@@ -133,15 +134,7 @@
     }
 
     /// No target takes the flow. None has seen any of its data, so that a reset is truthful.
-    pub(super) fn on_refused(
-        &mut self,
-        _view: &View,
-        frame: &Frame<'_>,
-        packet: &Packet,
-        _bytes: &mut [u8],
-        _now_ms: u64,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn on_refused(&mut self, frame: &Frame<'_>, packet: &Packet, cx: &mut Context<'_>) {
         let is_waiting =
             self.pins.get(packet.hash).is_some_and(|pin| pin.state == PinState::Waiting);
         if !is_waiting {
@@ -151,9 +144,9 @@
         self.openings.remove(packet.hash);
         self.counters.count(Counter::Refused);
         let code = super::opener::refusal_code(frame.hops);
-        out.events.push(TrafficEvent::Refused { listener_key: packet.listener_key, code });
+        cx.out.events.push(TrafficEvent::Refused { listener_key: packet.listener_key, code });
         if let Some(reset) = reset_from_destination(&packet.view) {
-            out.push_fabric(&reset);
+            cx.out.push_fabric(&reset);
         }
     }
 
@@ -210,18 +203,19 @@
         let waiting = Pin { target: TARGET_NONE, state: PinState::Waiting, attempts, ..*pin };
         self.pins.insert(waiting);
         if attempts > RETRIES_MAX {
-            self.release(packet, target, cx);
-            let header = self.header(FrameKind::Refused, 0, packet, cx.now_ms);
-            return self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out);
+            self.release(packet.hash, packet.listener, target, cx);
+            let header = self.header(FrameKind::Refused, 0, packet.listener_key, cx.now_ms);
+            return self.on_refused(&header, packet, cx);
         }
         self.counters.count(Counter::Retried);
-        let header = Frame { target, ..self.header(FrameKind::Failed, 0, packet, cx.now_ms) };
-        match self.opener_of_target(cx.view, packet, target) {
+        let header =
+            Frame { target, ..self.header(FrameKind::Failed, 0, packet.listener_key, cx.now_ms) };
+        match self.opener_of_target(cx.view, packet.listener, target) {
             Some(opener) if opener != self.me => {
                 self.send_frame(opener, &header, bytes, cx);
             }
             Some(_) => self.on_failed_frame(&header, packet, bytes, cx),
-            None => self.on_refused(cx.view, &header, packet, bytes, cx.now_ms, cx.out),
+            None => self.on_refused(&header, packet, cx),
         }
     }
 
@@ -241,7 +235,7 @@
             self.pins.remove(packet.hash);
         }
         let target = target.unwrap_or(IpAddr::V6(Ipv6Addr::UNSPECIFIED));
-        self.release(packet, target, cx);
+        self.release(packet.hash, packet.listener, target, cx);
         self.copy_closing(cx.view, &was, cx.now_ms);
         self.note_closed(&was, cx.now_ms, cx.out);
     }
@@ -266,8 +260,9 @@
         self.copy_closing(cx.view, pin, cx.now_ms);
         self.note_closed(pin, cx.now_ms, cx.out);
         let Some(target) = self.directory.address(pin.target) else { return };
-        let header = Frame { target, ..self.header(FrameKind::Close, 0, packet, cx.now_ms) };
-        match self.opener_of_target(cx.view, packet, target) {
+        let header =
+            Frame { target, ..self.header(FrameKind::Close, 0, packet.listener_key, cx.now_ms) };
+        match self.opener_of_target(cx.view, packet.listener, target) {
             Some(opener) if opener != self.me => {
                 self.send_frame(opener, &header, bytes, cx);
             }
@@ -277,17 +272,23 @@
     }
 
     /// Tells the opener that a flow is over when there is no packet to carry the news.
-    pub(super) fn release(&mut self, packet: &Packet, target: IpAddr, cx: &mut Context<'_>) {
-        let header = Frame { target, ..self.header(FrameKind::Released, 0, packet, cx.now_ms) };
-        let body = packet.hash.0.to_be_bytes();
-        let service = cx.view.settings.listener(packet.listener).service;
-        let opener = self.opener_of_target(cx.view, packet, target).or_else(|| {
-            cx.view.openers_for(service, packet.hash, cx.view.domain_seed).first().copied()
-        });
+    pub(super) fn release(
+        &mut self,
+        hash: FlowHash,
+        listener: ListenerId,
+        target: IpAddr,
+        cx: &mut Context<'_>,
+    ) {
+        let listener_key = cx.view.settings.listener(listener).key;
+        let header =
+            Frame { target, ..self.header(FrameKind::Released, 0, listener_key, cx.now_ms) };
+        let body = hash.0.to_be_bytes();
+        let service = cx.view.settings.listener(listener).service;
+        let opener = self
+            .opener_of_target(cx.view, listener, target)
+            .or_else(|| cx.view.openers_for(service, hash, cx.view.domain_seed).first().copied());
         match opener {
-            Some(opener) if opener != self.me => {
-                self.send_frame(opener, &header, &body, cx);
-            }
+            Some(opener) if opener != self.me => self.send_frame(opener, &header, &body, cx),
             Some(_) => self.on_released(&header, &body, cx),
             None => {}
         }
@@ -296,12 +297,12 @@
     fn opener_of_target(
         &self,
         view: &View,
-        packet: &Packet,
+        listener: ListenerId,
         target: IpAddr,
     ) -> Option<routing::HostId> {
         let id = view.settings.find_target(target)?;
         let domain_seed = view.settings.domain_seed(view.settings.target(id));
-        let service = view.settings.listener(packet.listener).service;
+        let service = view.settings.listener(listener).service;
         view.openers.opener(domain_seed, view.settings.service(service).seed)
     }
 }
--- a/crates/host/src/traffic/search.rs
+++ b/crates/host/src/traffic/search.rs
@@ -12,7 +12,7 @@
 use routing::{Pin, PinState, weighted_score};
 
 use crate::{
-    Counter, Outbox, View,
+    Counter, View,
     traffic::{Context, Direction, Packet, Traffic},
 };
 
@@ -241,7 +241,7 @@
     }
 
     /// Ends searches whose target has kept the flow.
-    pub(super) fn tick_searches(&mut self, now_ms: u64, _out: &mut Outbox) {
+    pub(super) fn tick_searches(&mut self, now_ms: u64) {
         let ended: Vec<(FlowHash, PinState)> = self
             .searches
             .searches
--- a/crates/host/src/traffic/sweep.rs
+++ b/crates/host/src/traffic/sweep.rs
@@ -6,9 +6,7 @@
 
 use crate::{
     Outbox, TrafficEvent, View,
-    traffic::{
-        Context, Direction, Packet, Traffic, replication::is_worth_copying, report::occupies_target,
-    },
+    traffic::{Context, Traffic, replication::is_worth_copying, report::occupies_target},
 };
 
 /// In how many ticks the whole table is looked at.
@@ -108,29 +106,8 @@
         if let (Some(target), Some(listener)) = (target, listener)
             && occupies_target(&pin)
         {
-            let address = cx.view.settings.listener(listener).address;
-            let packet = Packet {
-                view: empty_view(address),
-                hash,
-                bucket: hash.bucket(cx.view.placement.bucket_count()),
-                listener,
-                listener_key: pin.listener_key,
-                direction: Direction::Forward,
-            };
-            self.release(&packet, target, cx);
+            self.release(hash, listener, target, cx);
         }
         self.note_closed(&pin, cx.now_ms, cx.out);
     }
 }
-
-/// The view of a packet that does not exist, for a flow that ended without one.
-fn empty_view(address: std::net::SocketAddr) -> flow::PacketView {
-    flow::PacketView {
-        protocol: flow::Protocol::Tcp,
-        source: address,
-        destination: address,
-        tcp: None,
-        transport_offset: 0,
-        payload_len: 0,
-    }
-}
--- a/crates/settings/src/snapshot.rs
+++ b/crates/settings/src/snapshot.rs
@@ -101,6 +101,8 @@
     /// The targets, sorted by address.
     pub targets: Vec<Target>,
     keys: Vec<(u32, ListenerId)>,
+    /// The addresses of the targets alone, in the same order; a search through them stays in cache.
+    target_addresses: Vec<IpAddr>,
 }
 
 impl Snapshot {
@@ -162,6 +164,7 @@
             domains,
             services,
             keys: sorted_keys(&listeners),
+            target_addresses: targets.iter().map(|target| target.address).collect(),
             listeners,
             targets,
         }
@@ -178,7 +181,7 @@
 
     /// The target at `address`.
     pub fn find_target(&self, address: IpAddr) -> Option<TargetId> {
-        let found = self.targets.binary_search_by_key(&address, |target| target.address);
+        let found = self.target_addresses.binary_search(&address);
         found.ok().map(|position| TargetId(position as u32))
     }
 
--- a/crates/wagtailstalld/src/control_thread.rs
+++ b/crates/wagtailstalld/src/control_thread.rs
@@ -96,7 +96,7 @@
     pub(crate) fn take_settings(&self, root: Root, tree: &Tree, mut blobs: Blobs) {
         let snapshot = Arc::new(Snapshot::compile(tree, root.revision));
         let mut out = ControlOutput::default();
-        let is_taken = self.control.borrow_mut().on_settings(snapshot, clock::now_ms(), &mut out);
+        let is_taken = self.control.borrow_mut().on_settings(snapshot, &mut out);
         if is_taken {
             retain_used(&root, tree, &mut blobs);
             telemetry::emit(Event::SettingsInForce, &[field("revision", root.revision)]);
--- a/crates/wagtailstalld/src/shared.rs
+++ b/crates/wagtailstalld/src/shared.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use admission::Usage;
 use arc_swap::ArcSwapOption;
 use eyre::{Result, WrapErr};
 use flow::FlowKey;
@@ -38,17 +39,7 @@
     pub(crate) pins: usize,
     pub(crate) pin_memory_bytes: usize,
     pub(crate) waiting: usize,
-    pub(crate) usage: Vec<(IpAddr, admission_usage::Usage)>,
-}
-
-/// The occupation of targets, as the core reports it.
-pub(crate) mod admission_usage {
-    /// Requests and flows of one target.
-    #[derive(Debug, Clone, Copy)]
-    pub(crate) struct Usage {
-        pub(crate) requests: u32,
-        pub(crate) flows: u32,
-    }
+    pub(crate) usage: Vec<(IpAddr, Usage)>,
 }
 
 /// What the two threads share.
--- a/crates/wagtailstalld/src/traffic_thread.rs
+++ b/crates/wagtailstalld/src/traffic_thread.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io::{self, ErrorKind},
-    net::UdpSocket,
     sync::Arc,
     time::Duration,
 };
@@ -15,7 +14,7 @@
 
 use crate::{
     clock,
-    shared::{Shared, TrafficStatus, admission_usage::Usage},
+    shared::{Shared, TrafficStatus},
 };
 
 /// How many packets are taken from a socket before the other gets its turn.
@@ -123,7 +122,7 @@
                 }
                 Destination::Peer(address) => self.shared.peer.send_to(bytes, address),
             };
-            note_failure(sent, &self.shared.data);
+            note_failure(sent);
         }
         for event in std::mem::take(&mut self.out.events) {
             self.handle(event);
@@ -162,17 +161,12 @@
             return;
         }
         self.next_status_ms = now_ms + STATUS_MS;
-        let usage = self.traffic.usage().into_iter();
         let status = TrafficStatus {
             counters: *self.traffic.counters(),
             pins: self.traffic.pin_count(),
             pin_memory_bytes: self.traffic.pin_memory_bytes(),
             waiting: self.traffic.waiting(),
-            usage: usage
-                .map(|(target, usage)| {
-                    (target, Usage { requests: usage.requests, flows: usage.flows })
-                })
-                .collect(),
+            usage: self.traffic.usage(),
         };
         if let Ok(mut shared) = self.shared.status.lock() {
             *shared = status;
@@ -196,7 +190,7 @@
     }
 }
 
-fn note_failure(sent: io::Result<usize>, _socket: &UdpSocket) {
+fn note_failure(sent: io::Result<usize>) {
     let Err(error) = sent else { return };
     if error.kind() != ErrorKind::ConnectionRefused {
         telemetry::emit(Event::SendFailed, &[field("cause", error)]);
