Refuse datagram listeners of kind request

Cause: a stream of datagrams has no end that a host could see, so each flow would have held a slot until its idle timeout, four hours by default, and request is the default kind. Code 117 now says so.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::{
-    Code, Fault, ServiceNode, TargetState, Transport, Tree, blobs, listener_policy, snapshot,
+    Code, Fault, Kind, ServiceNode, TargetState, Transport, Tree, blobs, listener_policy, snapshot,
     target_policy,
 };
 
@@ -212,6 +212,7 @@
 
     fn check_service(&mut self, name: &str, service: &ServiceNode) {
         self.check_shares(name, service);
+        self.check_kinds(name, service);
         self.check_target_ports(name, service);
         self.check_families(name, service);
         for (upstream_name, upstream) in &service.upstreams {
@@ -245,6 +246,19 @@
         }
     }
 
+    // A stream of datagrams has no end that a host could see.
+    fn check_kinds(&mut self, name: &str, service: &ServiceNode) {
+        for (listener_name, listener) in &service.listeners {
+            let kind = listener_policy(self.tree, service, listener).kind;
+            if listener.transport == Transport::Udp && kind == Kind::Request {
+                let path = format!("/services/{name}/listeners/{listener_name}");
+                let cause = "a datagram flow of kind request would hold its slot".to_owned();
+                let hint = "set kind to \"session\" and a short idle_timeout_ms";
+                self.fault(Code::DatagramRequest, &path, cause, hint);
+            }
+        }
+    }
+
     fn check_target_ports(&mut self, name: &str, service: &ServiceNode) {
         let mut seen: BTreeMap<(u16, bool), &str> = BTreeMap::new();
         for (listener_name, listener) in &service.listeners {
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -38,11 +38,13 @@
     UnknownPath = 115,
     /// Two listeners have the same derived key.
     ListenerKey = 116,
+    /// A listener for datagrams takes requests, whose slots nothing would free.
+    DatagramRequest = 117,
 }
 
 impl Code {
     /// Every code, in numeric order.
-    pub const ALL: [Code; 16] = [
+    pub const ALL: [Code; 17] = [
         Code::NotJson,
         Code::Shape,
         Code::TargetTwice,
@@ -59,6 +61,7 @@
         Code::BucketCount,
         Code::UnknownPath,
         Code::ListenerKey,
+        Code::DatagramRequest,
     ];
 
     /// The stable number of this code.
--- a/crates/settings/tests/checks.rs
+++ b/crates/settings/tests/checks.rs
@@ -152,6 +152,17 @@
     );
 }
 
+#[test]
+fn datagram_request() {
+    check(
+        "\"port\": 444,",
+        "\"port\": 444, \"transport\": \"udp\",",
+        expect![
+            "117 at /services/valuations/listeners/appraisals: a datagram flow of kind request would hold its slot"
+        ],
+    );
+}
+
 #[test]
 fn bucket_count() {
     check(
