--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -44,7 +44,29 @@
     path: &str,
     timeout: Duration,
 ) -> Result<(u16, String), StoreError> {
-    let answer = send(address, Method::GET, path, Vec::new(), timeout).await?;
+    text(address, Method::GET, path, timeout).await
+}
+
+/// Posts to `path` at `address` without a body; gives the answer as text, with its status.
+///
+/// # Errors
+///
+/// Fails if there is no answer within `timeout`.
+pub async fn post_text(
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<(u16, String), StoreError> {
+    text(address, Method::POST, path, timeout).await
+}
+
+async fn text(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    timeout: Duration,
+) -> Result<(u16, String), StoreError> {
+    let answer = send(address, method, path, Vec::new(), timeout).await?;
     Ok((answer.status, String::from_utf8_lossy(&answer.body).into_owned()))
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -20,6 +20,6 @@
     accept::{Accepted, Edit, Rejection, accept, history, load, read_root},
     client::{PlatformClient, ServiceHost},
     error::StoreError,
-    http::get_text,
+    http::{get_text, post_text},
     key_value::{Entry, KeyValue, Read, Swap, Wait},
 };
--- a/crates/wagtailstall/src/hosts.rs
+++ b/crates/wagtailstall/src/hosts.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use eyre::{WrapErr, eyre};
 use serde_json::Value;
-use store::get_text;
+use store::{get_text, post_text};
 
 use crate::{
     Context,
@@ -21,6 +21,11 @@
 #[argh(subcommand, name = "status")]
 pub(crate) struct Status {}
 
+/// stop the hosts named by --admin as planned: they hand over and exit
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stop-host")]
+pub(crate) struct StopHost {}
+
 /// tell why a flow goes where it goes
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "flows")]
@@ -58,6 +63,19 @@
     Ok(())
 }
 
+pub(crate) async fn stop(context: &Context, _command: &StopHost) -> Outcome {
+    for admin in hosts(context)? {
+        let (status, text) = post_text(*admin, "/stop", ANSWER).await?;
+        if status != 202 {
+            return Err(eyre!("{admin} answered {status}: {}", text.trim()).into());
+        }
+        if context.format == Format::Text {
+            println!("{admin} hands over and exits");
+        }
+    }
+    Ok(())
+}
+
 pub(crate) async fn flows(context: &Context, command: &Flows) -> Outcome {
     let path = format!(
         "/flows?protocol={}&caller={}&service={}",
--- a/crates/wagtailstall/src/main.rs
+++ b/crates/wagtailstall/src/main.rs
@@ -59,6 +59,7 @@
     Undrain(target::Undrain),
     Status(hosts::Status),
     Flows(hosts::Flows),
+    StopHost(hosts::StopHost),
 }
 
 /// Where to find what a command needs, and how to print.
@@ -94,6 +95,7 @@
         Command::Undrain(command) => target::undrain(context, &command).await,
         Command::Status(command) => hosts::status(context, &command).await,
         Command::Flows(command) => hosts::flows(context, &command).await,
+        Command::StopHost(command) => hosts::stop(context, &command).await,
     }
 }
 
--- a/crates/wagtailstalld/src/admin.rs
+++ b/crates/wagtailstalld/src/admin.rs
@@ -1,4 +1,5 @@
-//! The operators' pages over HTTP: readiness, status, metrics and questions about flows.
+//! The operators' pages over HTTP: readiness, status, metrics, questions about flows, and a planned
+//! stop.
 
 use std::{convert::Infallible, future::Future, net::SocketAddr};
 
@@ -6,7 +7,9 @@
 use flow::{DropReason, FlowKey, Protocol};
 use host::{Counters, Stage};
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn,
+};
 use serde_json::{Value, json};
 use smol::{
     LocalExecutor,
@@ -63,9 +66,15 @@
                 respond(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", format!("{error:#}"))
             }
         },
+        "/stop" if request.method() == Method::POST => {
+            state.begin_stop();
+            respond(StatusCode::ACCEPTED, "text/plain", "stopping\n".to_owned())
+        }
         "/flows" => flows(state, request.uri().query().unwrap_or("")).await,
         path => {
-            let text = format!("no page {path}; there are /ready, /status, /metrics and /flows");
+            let text = format!(
+                "no page {path}; there are /ready, /status, /metrics, /flows and POST /stop"
+            );
             respond(StatusCode::NOT_FOUND, "text/plain", text)
         }
     };
--- a/crates/wagtailstalld/src/control_thread.rs
+++ b/crates/wagtailstalld/src/control_thread.rs
@@ -105,6 +105,13 @@
         self.carry_out(out);
     }
 
+    /// Starts a planned stop.
+    pub(crate) fn begin_stop(&self) {
+        let mut out = ControlOutput::default();
+        self.control.borrow_mut().begin_stop(clock::now_ms(), &mut out);
+        self.carry_out(out);
+    }
+
     async fn run_until_done(&self) -> Result<()> {
         let events = self.shared.events.1.clone();
         let mut last_stage = self.stage();
@@ -227,9 +234,7 @@
         if matches!(signal, Signal::Hup) {
             continue;
         }
-        let mut out = ControlOutput::default();
-        state.control.borrow_mut().begin_stop(clock::now_ms(), &mut out);
-        state.carry_out(out);
+        state.begin_stop();
     }
 }
 
--- a/crates/xtask/src/bed.rs
+++ b/crates/xtask/src/bed.rs
@@ -162,6 +162,15 @@
         serde_json::from_slice(&output.stdout).wrap_err("the answer of wagtailstall")
     }
 
+    /// Stops the host `host` by the operators' command, and waits for its end.
+    pub(crate) fn stop_by_command(&mut self, host: &Host) -> Result<(Option<i32>, String)> {
+        let admin = local(host.admin_port);
+        let output =
+            self.processes.run("wagtailstall", &strings(&["--admin", &admin, "stop-host"]))?;
+        ensure!(output.status.success(), "stop-host: {}", String::from_utf8_lossy(&output.stderr));
+        self.processes.wait(&host.name, Duration::from_secs(60))
+    }
+
     /// Starts the host `host`, again if it ran before.
     pub(crate) fn start_host(&mut self, host: &Host) -> Result<()> {
         let arguments = strings(&["--settings", &host.settings.display().to_string()]);
--- a/crates/xtask/src/prove.rs
+++ b/crates/xtask/src/prove.rs
@@ -68,9 +68,14 @@
 
 /// Every host is replaced, one at a time.
 fn rolling(bed: &mut Bed) -> Result<()> {
-    for host in bed.hosts.clone() {
+    for (number, host) in bed.hosts.clone().into_iter().enumerate() {
         println!("replacing {}", host.name);
-        let (code, _) = bed.processes.stop(&host.name)?;
+        // Both ways of asking for a planned stop do the same.
+        let (code, _) = if number % 2 == 0 {
+            bed.processes.stop(&host.name)?
+        } else {
+            bed.stop_by_command(&host)?
+        };
         ensure!(code == Some(0), "{} ended its planned stop with {code:?}", host.name);
         bed.start_host(&host)?;
         bed.wait_until_ready()?;
