--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -68,14 +68,15 @@
     let (code, _) = bed.processes.stop(&stopped.name)?;
     println!("  it exited with {code:?}");
 
+    let status = bed.operate(&strings(&["status"]))?;
+    std::fs::write("target/bed/status.json", status.to_string())?;
+    let imbalance = imbalance(&status, &address_of(&plan.tree, &target)?);
+
     let killed = bed.hosts.remove(bed.hosts.len() - 1);
     println!("killing host {}", killed.name);
     bed.processes.signal(&killed.name, "KILL")?;
     bed.processes.sleep(quarter / 2)?;
 
-    let status = bed.operate(&strings(&["status"]))?;
-    std::fs::write("target/bed/status.json", status.to_string())?;
-    let imbalance = imbalance(&status, &address_of(&plan.tree, &target)?);
     let seen = bed.finish_callers("callers")?;
     let done = bed.finish_upstreams()?;
     let summary = Summary {
