--- a/crates/fakes/src/lan/report.rs
+++ b/crates/fakes/src/lan/report.rs
@@ -80,24 +80,27 @@
             }
         }
         let taken = |caller: &Caller| takers.get(&caller.address).copied().unwrap_or(0);
-        let count = |is_wanted: &dyn Fn(&Caller) -> bool| {
-            callers.iter().filter(|caller| is_wanted(caller)).count()
-        };
         let ended = |caller: &Caller, ending| caller.ending == Some(ending);
         Report {
             started: callers.len(),
-            established: count(&|caller| caller.established_at_ms.is_some()),
-            completed: count(&|caller| ended(caller, Ending::Completed)),
-            refused: count(&|caller| ended(caller, Ending::Refused)),
-            broken: count(&|caller| {
+            established: count(callers, |caller| caller.established_at_ms.is_some()),
+            completed: count(callers, |caller| ended(caller, Ending::Completed)),
+            refused: count(callers, |caller| ended(caller, Ending::Refused)),
+            broken: count(callers, |caller| {
                 ended(caller, Ending::Broken) && caller.established_at_ms.is_some()
             }),
-            unanswered: count(&|caller| {
+            unanswered: count(callers, |caller| {
                 ended(caller, Ending::Broken) && caller.established_at_ms.is_none()
             }),
-            whole: count(&|caller| caller.is_whole()),
-            taken_twice: count(&|caller| taken(caller) > 1),
-            refused_but_taken: count(&|caller| ended(caller, Ending::Refused) && taken(caller) > 0),
+            whole: count(callers, |caller| caller.is_whole()),
+            taken_twice: count(callers, |caller| taken(caller) > 1),
+            refused_but_taken: count(callers, |caller| {
+                ended(caller, Ending::Refused) && taken(caller) > 0
+            }),
         }
     }
 }
+
+fn count(callers: &[Caller], is_wanted: impl Fn(&Caller) -> bool) -> usize {
+    callers.iter().filter(|caller| is_wanted(caller)).count()
+}
--- a/crates/host/benches/forward.rs
+++ b/crates/host/benches/forward.rs
@@ -11,27 +11,19 @@
 /// A packet from a caller, of one of `flows` pinned flows in no particular order.
 #[divan::bench(args = [1_000, 500_000], sample_size = 10_000, sample_count = 50)]
 fn forward_pinned(bencher: Bencher<'_, '_>, flows: usize) {
-    let mut host = LoneHost::new(flows);
-    let packets: Vec<Vec<u8>> =
-        (0..4096).map(|index| host.data_packet(index * 7_919 % flows)).collect();
-    let mut out = Outbox::default();
-    let mut packet = packets[0].clone();
-    let mut next = 0;
-    bencher.counter(1u32).bench_local(|| {
-        next = (next + 1) % packets.len();
-        packet.copy_from_slice(&packets[next]);
-        out.clear();
-        host.traffic.on_fabric(black_box(&mut packet), host.now_ms, &mut out);
-        black_box(&out);
-    });
+    run(bencher, flows, LoneHost::data_packet);
 }
 
 /// A packet from a target.
 #[divan::bench(args = [1_000, 500_000], sample_size = 10_000, sample_count = 50)]
 fn answer(bencher: Bencher<'_, '_>, flows: usize) {
+    run(bencher, flows, LoneHost::answer_packet);
+}
+
+fn run(bencher: Bencher<'_, '_>, flows: usize, packet: fn(&LoneHost, usize) -> Vec<u8>) {
     let mut host = LoneHost::new(flows);
     let packets: Vec<Vec<u8>> =
-        (0..4096).map(|index| host.answer_packet(index * 7_919 % flows)).collect();
+        (0..4096).map(|index| packet(&host, index * 7_919 % flows)).collect();
     let mut out = Outbox::default();
     let mut packet = packets[0].clone();
     let mut next = 0;
