Learn all members before and shortly after getting ready

Hosts that start at once heard of each other's readiness only by gossip of six reports a message, so that for more than 10 s several hosts took themselves for the opener of one pool. Ruled out: reports and counts (right for each opener), the flood itself (63 hosts without one disagreed as well: 30 to 54 of 63 openers known after 4 s, 61 to 63 after 14 s). Change: a joining host asks a random host for all members, waits until it hears of hardly any new ones, and goes on asking for 3 s; 12 reports a message, half as many copies of each.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -13,6 +13,9 @@
 /// How long a starting host waits for others before it serves alone, in milliseconds.
 const ALONE_MS: u64 = 1_500;
 
+/// For how long a starting host must have heard of hardly any new host, in milliseconds.
+const MEMBERS_QUIET_MS: u64 = 1_000;
+
 /// How long a starting host waits for pins at most, in milliseconds.
 const JOIN_MAX_MS: u64 = 20_000;
 
@@ -65,6 +68,9 @@
     published_revision: u64,
     placement: Option<Arc<Placement>>,
     last_tick_ms: u64,
+    /// The number of known hosts that counts as all of them, and since when.
+    known_hosts: usize,
+    known_since_ms: u64,
 }
 
 impl Control {
@@ -91,6 +97,8 @@
             published_revision: 0,
             placement: None,
             last_tick_ms: now_ms,
+            known_hosts: 0,
+            known_since_ms: now_ms,
         }
     }
 
@@ -194,14 +202,24 @@
         let revision = self.revision();
         let probes = self.membership.tick(now_ms, revision);
         self.send(probes, out);
+        self.note_known_hosts(now_ms);
         self.advance(now_ms, out);
         self.publish(out);
     }
 
+    // In a large fleet some host always comes or goes; one in a hundred is no news.
+    fn note_known_hosts(&mut self, now_ms: u64) {
+        let known = self.membership.table().members().count();
+        if known > self.known_hosts + 1 + self.known_hosts / 100 || self.known_hosts == 0 {
+            self.known_hosts = known;
+            self.known_since_ms = now_ms;
+        }
+    }
+
     fn advance(&mut self, now_ms: u64, out: &mut ControlOutput) {
         let elapsed_ms = now_ms.saturating_sub(self.stage_since_ms);
         match self.stage {
-            Stage::Joining if self.may_serve(elapsed_ms) => {
+            Stage::Joining if self.may_serve(elapsed_ms, now_ms) => {
                 self.enter(Stage::Ready, MemberState::Ready, now_ms, out);
             }
             Stage::Leaving if self.is_handed_over || elapsed_ms >= LEAVE_MAX_MS => {
@@ -212,10 +230,14 @@
         }
     }
 
-    fn may_serve(&self, elapsed_ms: u64) -> bool {
+    fn may_serve(&self, elapsed_ms: u64, now_ms: u64) -> bool {
         if self.settings.is_none() || elapsed_ms < ALONE_MS {
             return false;
         }
+        let is_quiet = now_ms >= self.known_since_ms + MEMBERS_QUIET_MS;
+        if !is_quiet && elapsed_ms < JOIN_MAX_MS {
+            return false;
+        }
         let owners = self.membership.table().entries(MemberState::is_owner);
         let is_done = |host: HostId| self.transfers_done.binary_search(&host).is_ok();
         owners.iter().all(|owner| is_done(owner.id)) || elapsed_ms >= JOIN_MAX_MS
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -22,6 +22,8 @@
     pub members_per_message: usize,
     /// How many reports the answer to a starting host carries at most.
     pub members_per_welcome: usize,
+    /// How long a host asks others for all members after it changed its state, in milliseconds.
+    pub learn_ms: u64,
     /// How long a host that left or died is remembered, in milliseconds.
     pub forget_ms: u64,
 }
@@ -33,8 +35,9 @@
             ack_timeout_ms: 120,
             indirect_probes: 3,
             suspicion_ms: 1_000,
-            members_per_message: 6,
+            members_per_message: 12,
             members_per_welcome: 12,
+            learn_ms: 3_000,
             forget_ms: 60 * 60 * 1000,
         }
     }
@@ -121,6 +124,8 @@
     next_probe_at_ms: u64,
     next_sequence: u64,
     version: u64,
+    /// When this host last changed its state.
+    changed_at_ms: u64,
 }
 
 impl Membership {
@@ -138,6 +143,7 @@
             next_probe_at_ms: 0,
             next_sequence: 1,
             version: 1,
+            changed_at_ms: 0,
         };
         membership.announce(0);
         membership
@@ -170,6 +176,7 @@
         }
         self.me.state = state;
         self.me.incarnation += 1;
+        self.changed_at_ms = now_ms;
         self.announce(now_ms);
     }
 
@@ -201,6 +208,7 @@
         self.probe_next(now_ms, revision, &mut out);
         self.probe_gone(revision, &mut out);
         self.probe_seed(revision, &mut out);
+        self.ask_for_members(now_ms, revision, &mut out);
         out
     }
 
@@ -220,7 +228,7 @@
         let mut out = Vec::new();
         match probe.kind {
             ProbeKind::Ping if is_new_sender => out.push(self.welcome(from, probe, revision)),
-            ProbeKind::Join => out.push(self.welcome(from, probe, revision)),
+            ProbeKind::Join => out.extend(self.all_members(from, probe, revision)),
             ProbeKind::Ping => {
                 let mut ack = self.message(ProbeKind::Ack, probe.sequence, self.me.id, revision);
                 self.add_report_about(probe.members.first().map(|member| member.id), &mut ack);
@@ -270,6 +278,43 @@
         out.push(Outgoing { to: address, probe });
     }
 
+    /// Every known host, in as many messages as it takes.
+    fn all_members(&self, to: SocketAddr, probe: &Probe, revision: u64) -> Vec<Outgoing> {
+        let others: Vec<Member> =
+            self.table.members().filter(|member| member.id != self.me.id).copied().collect();
+        let mut messages = Vec::new();
+        let mut rest = others.as_slice();
+        loop {
+            let (part, next) = rest.split_at(rest.len().min(self.config.members_per_welcome));
+            let mut members = vec![self.me];
+            members.extend_from_slice(part);
+            let (sequence, subject) = (probe.sequence, self.me.id);
+            let probe = Probe { kind: ProbeKind::Ack, sequence, subject, revision, members };
+            messages.push(Outgoing { to, probe });
+            rest = next;
+            if rest.is_empty() {
+                return messages;
+            }
+        }
+    }
+
+    // Hosts that know different members disagree about homes and openers, so a joining host learns
+    // them all before it serves, and what changed meanwhile shortly after.
+    fn ask_for_members(&mut self, now_ms: u64, revision: u64, out: &mut Vec<Outgoing>) {
+        let is_new = now_ms < self.changed_at_ms + self.config.learn_ms;
+        if self.me.state != MemberState::Joining && !is_new {
+            return;
+        }
+        let peers = self.alive_peers();
+        if peers.is_empty() {
+            return;
+        }
+        let peer = peers[self.rng.random_range(0..peers.len())];
+        let sequence = self.take_sequence();
+        let probe = self.message(ProbeKind::Join, sequence, self.me.id, revision);
+        out.push(Outgoing { to: peer.address, probe });
+    }
+
     fn welcome(&mut self, to: SocketAddr, probe: &Probe, revision: u64) -> Outgoing {
         let mut members: Vec<Member> = self.table.members().copied().collect();
         members.shuffle(&mut self.rng);
@@ -318,7 +363,7 @@
 
     fn gossip_count(&self) -> u32 {
         let hosts = self.table.rows.len() as u32 + 1;
-        4 * (u32::BITS - hosts.leading_zeros())
+        2 * (u32::BITS - hosts.leading_zeros())
     }
 
     fn expire(&mut self, now_ms: u64) {
