--- /dev/null
+++ b/crates/catalog/src/directory.rs
@@ -0,0 +1,111 @@
+//! The immutable form of a catalog that packets are looked up in.
+
+use std::net::SocketAddrV4;
+
+use crate::{Catalog, FlowTag, Listener, Presence, Record, Service, Stage, TagTable, Target};
+
+/// The position of a listener in its directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenerIndex(pub usize);
+
+/// The position of a target in its directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetIndex(pub usize);
+
+/// Listeners and targets of one revision.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    /// The store's revision.
+    pub revision: u64,
+    /// How long a flow may be silent before it may be forgotten, in milliseconds.
+    pub idle_timeout_ms: u64,
+    listeners: Vec<Listener>,
+    services: Vec<Service>,
+    targets: Vec<(Target, Presence)>,
+    tags: TagTable,
+    /// The targets that may take new flows, sorted by service.
+    open: Vec<(u64, TargetIndex)>,
+}
+
+impl Directory {
+    /// Arranges the rows of `catalog`.
+    pub fn new(catalog: &Catalog) -> Directory {
+        let mut directory = Directory { revision: catalog.revision(), ..Directory::default() };
+        for row in catalog.rows() {
+            match &row.record {
+                Record::Target(target) => directory.targets.push((target.clone(), row.presence)),
+                _ if row.presence == Presence::Gone => {}
+                Record::Listener(listener) => directory.listeners.push(listener.clone()),
+                Record::Service(service) => directory.services.push(service.clone()),
+                Record::Limits(limits) => {
+                    directory.idle_timeout_ms = u64::from(limits.idle_timeout_ms);
+                }
+            }
+        }
+        directory.tags = TagTable::new(directory.targets.iter().map(|(target, _)| target.id));
+        directory.open = directory
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(_, (target, presence))| {
+                *presence != Presence::Gone && target.stage == Stage::Ready
+            })
+            .map(|(position, (target, _))| (target.service_seed, TargetIndex(position)))
+            .collect();
+        directory.open.sort_unstable();
+        directory
+    }
+
+    /// Every listener, sorted by address.
+    pub fn listeners(&self) -> &[Listener] {
+        &self.listeners
+    }
+
+    /// The listener at `address`.
+    pub fn find_listener(&self, address: SocketAddrV4) -> Option<&Listener> {
+        let found = self.listeners.binary_search_by_key(&address, |listener| listener.address);
+        found.ok().map(|position| &self.listeners[position])
+    }
+
+    /// The service with the number `seed`.
+    pub fn find_service(&self, seed: u64) -> Option<&Service> {
+        let found = self.services.binary_search_by_key(&seed, |service| service.seed);
+        found.ok().map(|position| &self.services[position])
+    }
+
+    /// The target at `index`.
+    pub fn target(&self, index: TargetIndex) -> &Target {
+        &self.targets[index.0].0
+    }
+
+    /// Whether the store lists the target at `index`.
+    pub fn presence(&self, index: TargetIndex) -> Presence {
+        self.targets[index.0].1
+    }
+
+    /// How many targets there are, those that are gone included.
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// The position of the target `id`.
+    pub fn find_target(&self, id: crate::TargetId) -> Option<TargetIndex> {
+        self.targets.binary_search_by_key(&id, |entry| entry.0.id).ok().map(TargetIndex)
+    }
+
+    /// The target that `tag` names, also if it is gone.
+    pub fn find_tag(&self, tag: FlowTag) -> Option<TargetIndex> {
+        self.tags.find(tag).map(TargetIndex)
+    }
+
+    /// A tag for new flows to the target at `index`.
+    pub fn tag_for(&self, index: TargetIndex) -> Option<FlowTag> {
+        self.tags.unique_tag(self.target(index).id)
+    }
+
+    /// The targets of the service `seed` that may take new flows.
+    pub fn open_targets(&self, seed: u64) -> impl Iterator<Item = TargetIndex> + '_ {
+        let start = self.open.partition_point(|entry| entry.0 < seed);
+        self.open[start..].iter().take_while(move |entry| entry.0 == seed).map(|entry| entry.1)
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/rows.rs
@@ -0,0 +1,131 @@
+//! The mergeable table of rows.
+
+use crate::{Key, Presence, Row};
+
+/// Tells whether two hosts hold the same rows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Digest(pub u64);
+
+/// What a reading of the store says about records that it does not list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// The store has been well for long enough: what it does not list is gone.
+    Conclusive,
+    /// The store was away a moment ago: what it does not list may come back.
+    Provisional,
+}
+
+/// Every row that a host knows, sorted by key.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    rows: Vec<Row>,
+    revision: u64,
+    digest: Digest,
+}
+
+impl Catalog {
+    /// The store's revision up to which every change is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The digest of all rows.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// The rows, sorted by key.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// The row with this key.
+    pub fn get(&self, key: Key) -> Option<&Row> {
+        self.position(key).ok().map(|position| &self.rows[position])
+    }
+
+    /// Takes a row over if it is news. Returns whether it was.
+    ///
+    /// A row that only repeats what is known raises the revision and is no news.
+    pub fn merge(&mut self, row: Row) -> bool {
+        let key = row.record.key();
+        match self.position(key) {
+            Ok(position) if row.supersedes(&self.rows[position]) => {
+                let known = &mut self.rows[position];
+                let is_news = known.presence != row.presence || known.record != row.record;
+                self.digest.0 ^= fingerprint(known) ^ fingerprint(&row);
+                *known = row;
+                is_news
+            }
+            Ok(_) => false,
+            Err(position) => {
+                self.digest.0 ^= fingerprint(&row);
+                self.rows.insert(position, row);
+                true
+            }
+        }
+    }
+
+    /// Notes that every change up to `revision` is known. A lower revision changes nothing.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Changes the presence of the rows for which `is_absent` holds, as of `revision`, and gives
+    /// the changed rows.
+    ///
+    /// Rows that changed after `revision` are left alone.
+    pub fn mark_absent(
+        &mut self,
+        revision: u64,
+        listing: Listing,
+        is_absent: impl Fn(&Row) -> bool,
+    ) -> Vec<Row> {
+        let presence = match listing {
+            Listing::Conclusive => Presence::Gone,
+            Listing::Provisional => Presence::Lapsed,
+        };
+        let absent: Vec<Row> = self
+            .rows
+            .iter()
+            .filter(|row| row.presence < presence && row.revision <= revision && is_absent(row))
+            .cloned()
+            .collect();
+        let changed = absent.into_iter().map(|row| Row { revision, presence, ..row });
+        changed.filter(|row| self.merge(row.clone())).collect()
+    }
+
+    /// Forgets the rows for which `is_old` holds.
+    pub fn forget(&mut self, is_old: impl Fn(&Row) -> bool) {
+        let digest = &mut self.digest.0;
+        self.rows.retain(|row| {
+            let keep = !is_old(row);
+            if !keep {
+                *digest ^= fingerprint(row);
+            }
+            keep
+        });
+    }
+
+    /// The rows that changed after `revision`.
+    pub fn changed_after(&self, revision: u64) -> impl Iterator<Item = &Row> {
+        self.rows.iter().filter(move |row| row.revision > revision)
+    }
+
+    fn position(&self, key: Key) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&key, |row| row.record.key())
+    }
+}
+
+// Gone rows do not count: hosts forget them at different times. Revisions do not count: a record that
+// was written again without a change is the same.
+fn fingerprint(row: &Row) -> u64 {
+    if row.presence == Presence::Gone {
+        return 0;
+    }
+    let mut bytes = vec![row.presence as u8];
+    row.record.write_bytes(&mut bytes);
+    let mut digest = [0; 8];
+    digest.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
+    u64::from_be_bytes(digest)
+}
--- /dev/null
+++ b/crates/edge/src/control.rs
@@ -0,0 +1,276 @@
+//! The control state of one host, without its sockets.
+
+use std::net::SocketAddr;
+
+use catalog::{Key, Record, Row};
+use membership::{Member, MemberState, Membership};
+use relay::{Absent, Changes, Peer, Recovery, Relay};
+use routing::HostId;
+use store::{Change, ChangeList, Item, Listing, StoreError};
+use telemetry::{Event, field};
+use wire::Control as Message;
+
+use crate::{Platform, Source, replay::ReplayGuard, shared::Shared};
+
+/// Up to how many hosts a host tells its loads to hosts of every failure domain; above, only to
+/// those of its own, since the messages grow with the square of the hosts.
+const LOADS_TO_ALL_MAX: usize = 40;
+
+/// Messages to other hosts.
+pub(crate) type Mail = Vec<(SocketAddr, Message)>;
+
+/// Membership, the relay and what is known of the store.
+pub(crate) struct Core {
+    membership: Membership,
+    relay: Relay,
+    recovery: Recovery,
+    guard: ReplayGuard,
+    members_version: u64,
+    /// When the store was last seen to refuse, for its log lines.
+    is_store_well: bool,
+}
+
+impl Core {
+    pub(crate) fn new(shared: &Shared, now_ms: u64) -> Core {
+        let me = Member {
+            id: shared.me,
+            address: shared.settings.peer_address,
+            domain_seed: shared.domain_seed,
+            rack_seed: shared.domain_seed,
+            incarnation: shared.incarnation,
+            state: MemberState::Ready,
+        };
+        let seed = shared.me.0 ^ shared.incarnation;
+        let mut membership = Membership::new(membership::Config::default(), me, seed);
+        membership.set_seeds(&shared.settings.seeds());
+        let config = relay::Config::default();
+        Core {
+            membership,
+            relay: Relay::new(config, shared.me, shared.domain_seed, now_ms, seed),
+            recovery: Recovery::default(),
+            guard: ReplayGuard::default(),
+            members_version: 0,
+            is_store_well: true,
+        }
+    }
+
+    pub(crate) fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
+    pub(crate) fn members(&self) -> &membership::Table {
+        self.membership.table()
+    }
+
+    /// Whether a datagram of `sender` is new.
+    pub(crate) fn admit(&mut self, sender: HostId, number: u64) -> bool {
+        self.guard.admit(sender, number)
+    }
+
+    /// Asks the hosts that the settings name.
+    pub(crate) fn ask_seeds(&self, seeds: &[SocketAddr]) -> Mail {
+        seeds.iter().map(|seed| relay_mail(self.relay.ask(*seed))).collect()
+    }
+
+    pub(crate) fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.membership.set_seeds(seeds);
+    }
+
+    pub(crate) fn on_probe(
+        &mut self,
+        from: SocketAddr,
+        probe: &membership::Probe,
+        now_ms: u64,
+    ) -> Mail {
+        let revision = self.relay.catalog().revision();
+        let out = self.membership.on_probe(from, probe, now_ms, revision);
+        self.follow_members();
+        out.into_iter().map(probe_mail).collect()
+    }
+
+    pub(crate) fn on_relay(
+        &mut self,
+        from: SocketAddr,
+        sender: HostId,
+        message: relay::Message,
+        now_ms: u64,
+    ) -> Mail {
+        let out = self.relay.on_message(from, sender, message, now_ms);
+        out.into_iter().map(relay_mail).collect()
+    }
+
+    pub(crate) fn tick(&mut self, now_ms: u64) -> Mail {
+        let revision = self.relay.catalog().revision();
+        let mut mail: Mail =
+            self.membership.tick(now_ms, revision).into_iter().map(probe_mail).collect();
+        self.follow_members();
+        mail.extend(self.relay.tick(now_ms).into_iter().map(relay_mail));
+        if self.recovery.conclusive_at_ms().is_some_and(|at_ms| now_ms >= at_ms) {
+            mail.extend(self.relay.settle(now_ms).into_iter().map(relay_mail));
+        }
+        mail
+    }
+
+    /// Tells others that this host leaves.
+    pub(crate) fn leave(&mut self, now_ms: u64) -> Mail {
+        self.membership.set_state(MemberState::Left, now_ms);
+        let revision = self.relay.catalog().revision();
+        self.membership.broadcast(4, revision).into_iter().map(probe_mail).collect()
+    }
+
+    /// Who hears of this host's loads.
+    pub(crate) fn load_receivers(&self, shared: &Shared) -> Vec<SocketAddr> {
+        let peers: Vec<&Member> = self.peers().collect();
+        let is_small = peers.len() <= LOADS_TO_ALL_MAX;
+        peers
+            .iter()
+            .filter(|peer| is_small || peer.domain_seed == shared.domain_seed)
+            .map(|peer| peer.address)
+            .collect()
+    }
+
+    /// Every item of the store was listed.
+    pub(crate) fn on_listing<P: Platform>(
+        &mut self,
+        listing: Listing,
+        sent_at_ms: u64,
+        now_ms: u64,
+    ) -> Mail {
+        self.on_answer(now_ms);
+        let changes = Changes {
+            revision: listing.revision,
+            listed: decode_all::<P>(listing.items.iter()),
+            absent: Absent::Unlisted,
+            listing: self.recovery.listing(now_ms),
+            proven_at_ms: sent_at_ms,
+        };
+        self.take_over(changes, now_ms)
+    }
+
+    /// The store told what has changed.
+    pub(crate) fn on_change_list<P: Platform>(
+        &mut self,
+        list: ChangeList,
+        proven_at_ms: u64,
+        now_ms: u64,
+    ) -> Mail {
+        self.on_answer(now_ms);
+        let written = list.changes.iter().filter_map(|change| match change {
+            Change::Written(item) => Some(item),
+            Change::Removed { .. } => None,
+        });
+        let listed = decode_all::<P>(written);
+        let mut removed: Vec<(u64, Key)> = Vec::new();
+        for change in &list.changes {
+            match change {
+                Change::Removed { key, revision } => {
+                    if let Source::Target(id) = P::source(key) {
+                        removed.push((*revision, Key::Target(id)));
+                    }
+                }
+                Change::Written(item) if P::source(&item.key) == Source::Settings => {
+                    removed.extend(self.replaced_settings(item, &listed));
+                }
+                Change::Written(_) => {}
+            }
+        }
+        let changes = Changes {
+            revision: list.revision,
+            listed,
+            absent: Absent::Removed(removed),
+            listing: self.recovery.listing(now_ms),
+            proven_at_ms,
+        };
+        self.take_over(changes, now_ms)
+    }
+
+    /// A call to the store failed.
+    pub(crate) fn on_failure(&mut self, error: &StoreError) {
+        self.recovery.on_failure();
+        if std::mem::replace(&mut self.is_store_well, false) {
+            telemetry::emit(Event::StoreUnavailable, &[field("cause", error)]);
+        }
+    }
+
+    fn on_answer(&mut self, now_ms: u64) {
+        self.recovery.on_answer(now_ms);
+        if !std::mem::replace(&mut self.is_store_well, true) {
+            telemetry::emit(Event::StoreAvailable, &[]);
+        }
+    }
+
+    fn take_over(&mut self, changes: Changes, now_ms: u64) -> Mail {
+        self.relay.on_changes(changes, now_ms).into_iter().map(relay_mail).collect()
+    }
+
+    /// What the settings in `item` no longer hold.
+    fn replaced_settings(&self, item: &Item, listed: &[(u64, Record)]) -> Vec<(u64, Key)> {
+        // Settings that cannot be decoded replace nothing.
+        let kept: Vec<Key> = listed
+            .iter()
+            .filter(|(revision, _)| *revision == item.revision)
+            .map(|(_, record)| record.key())
+            .collect();
+        if kept.is_empty() {
+            return Vec::new();
+        }
+        let is_replaced = |row: &&Row| {
+            let key = row.record.key();
+            !matches!(key, Key::Target(_)) && !kept.contains(&key)
+        };
+        let rows = self.relay.catalog().rows().iter().filter(is_replaced);
+        rows.map(|row| (item.revision, row.record.key())).collect()
+    }
+
+    fn peers(&self) -> impl Iterator<Item = &Member> {
+        let me = self.membership.me().id;
+        let members = self.membership.table().members();
+        members.filter(move |member| member.state.is_alive() && member.id != me)
+    }
+
+    fn follow_members(&mut self) {
+        if self.members_version == self.membership.version() {
+            return;
+        }
+        self.members_version = self.membership.version();
+        let peers: Vec<Peer> = self
+            .peers()
+            .map(|member| Peer {
+                id: member.id,
+                address: member.address,
+                domain_seed: member.domain_seed,
+            })
+            .collect();
+        self.relay.set_peers(peers);
+    }
+}
+
+fn decode_all<'a, P: Platform>(items: impl Iterator<Item = &'a Item>) -> Vec<(u64, Record)> {
+    let mut records = Vec::new();
+    for item in items {
+        match P::decode(item) {
+            Ok(decoded) => {
+                records.extend(decoded.into_iter().map(|record| (item.revision, record)));
+            }
+            Err(fault) => {
+                telemetry::emit(
+                    Event::EntryRejected,
+                    &[
+                        field("key", &item.key),
+                        field("revision", item.revision),
+                        field("cause", fault),
+                    ],
+                );
+            }
+        }
+    }
+    records
+}
+
+fn relay_mail(outgoing: relay::Outgoing) -> (SocketAddr, Message) {
+    (outgoing.to, Message::Relay(outgoing.message))
+}
+
+fn probe_mail(outgoing: membership::Outgoing) -> (SocketAddr, Message) {
+    (outgoing.to, Message::Probe(outgoing.probe))
+}
--- /dev/null
+++ b/crates/edge/src/control_thread.rs
@@ -0,0 +1,420 @@
+//! The thread that holds control state.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_signal::{Signal, Signals};
+use catalog::{Directory, TargetId};
+use eyre::{Result, WrapErr};
+use futures_lite::StreamExt;
+use relay::Role;
+use routing::HostId;
+use smol::{
+    LocalExecutor, Timer,
+    channel::{Receiver, Sender, bounded},
+    net::UdpSocket,
+};
+use tagged::{CheckVerdict, Event as Decision, HostLoad};
+use telemetry::{Event, field};
+use wire::{Control as Message, Frame, FrameKind};
+
+use crate::{
+    EdgeSettings, Platform, clock,
+    control::{Core, Mail},
+    pages, reader,
+    shared::{Command, Notice, Shared},
+};
+
+/// How often control state advances, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// A gap between two ticks after which waiting datagrams say nothing about the present, in
+/// milliseconds.
+const PAUSE_MS: u64 = 500;
+
+/// How long datagrams are not believed after such a gap, in milliseconds: enough to empty the
+/// socket.
+const DISTRUST_MS: u64 = 50;
+
+/// How often the settings file is looked at, in milliseconds; it may change without a signal.
+const SETTINGS_MS: u64 = 5_000;
+
+/// How long a health check may take, in milliseconds: a target that is slow by its load answers
+/// within that, and callers of a dead one wait as long.
+const CHECK_MS: u64 = 600;
+
+/// How long the host forwards after it reports that it is not ready, in milliseconds: routers ask
+/// twice a second and leave a host out after two misses.
+const LINGER_MS: u64 = 1_700;
+
+/// How long it forwards at most while packets come, in milliseconds; less than the platform grants.
+const LINGER_MAX_MS: u64 = 4_000;
+
+/// For how long no packet has come when routers have moved on, in milliseconds.
+const QUIET_MS: u64 = 400;
+
+/// The largest datagram between hosts, in bytes.
+const DATAGRAM_BYTES: usize = 32_768;
+
+/// Within how many bits the number of a datagram counts within one millisecond of starts.
+const NUMBER_SHIFT: u32 = 20;
+
+/// The control state, shared by the tasks of this thread.
+#[derive(Clone)]
+pub(crate) struct State {
+    pub(crate) shared: Arc<Shared>,
+    core: Rc<RefCell<Core>>,
+    socket: Rc<UdpSocket>,
+    executor: Rc<LocalExecutor<'static>>,
+    next_number: Rc<Cell<u64>>,
+    published_digest: Rc<Cell<Option<(u64, catalog::Digest)>>>,
+    is_stopping: Rc<Cell<bool>>,
+    /// When this thread last ran, by the steady clock.
+    seen_at_ms: Rc<Cell<u64>>,
+    distrust_until_ms: Rc<Cell<u64>>,
+    role_changes: (Sender<()>, Receiver<()>),
+}
+
+/// Runs until a planned stop is done.
+pub(crate) fn run<P: Platform>(shared: &Arc<Shared>, path: &Path) -> Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let address = shared.settings.peer_address;
+        let socket = UdpSocket::bind(address)
+            .await
+            .wrap_err_with(|| format!("131: /peer_address: {address} cannot be bound"))?;
+        let state = State {
+            shared: shared.clone(),
+            core: Rc::new(RefCell::new(Core::new(shared, clock::now_ms()))),
+            socket: Rc::new(socket),
+            executor: executor.clone(),
+            next_number: Rc::new(Cell::new(shared.incarnation << NUMBER_SHIFT)),
+            published_digest: Rc::default(),
+            is_stopping: Rc::default(),
+            seen_at_ms: Rc::new(Cell::new(clock::now_ms())),
+            distrust_until_ms: Rc::default(),
+            role_changes: bounded(1),
+        };
+        let ready = pages::listen("ready_address", shared.settings.ready_address).await?;
+        let admin = pages::listen("admin_address", shared.settings.admin_address).await?;
+        pages::observe_counters(&state);
+        state.spawn(pages::serve::<P>(state.clone(), ready));
+        state.spawn(pages::serve::<P>(state.clone(), admin));
+        state.spawn(state.clone().receive());
+        state.spawn(state.clone().follow_data_thread());
+        state.spawn(reader::run::<P>(state.clone()));
+        state.spawn(state.clone().follow_settings(path.to_owned()));
+        state.send_all(state.with_core(|core| core.ask_seeds(&shared.settings.seeds())));
+        state.spawn(state.clone().tick_forever());
+        state.wait_for_stop(path).await
+    }))
+}
+
+impl State {
+    /// Works on the control state.
+    pub(crate) fn with_core<T>(&self, work: impl FnOnce(&mut Core) -> T) -> T {
+        work(&mut self.core.borrow_mut())
+    }
+
+    /// Runs `task` on this thread.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Whether the host takes packets.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.shared.directory.load().is_some()
+    }
+
+    /// Ends when the relay has decided about this host's role anew.
+    pub(crate) async fn role_changed(&self) {
+        // The sender lives as long as this state.
+        let _ = self.role_changes.1.recv().await;
+    }
+
+    /// Publishes the catalog if it changed, and sends `mail`.
+    pub(crate) fn after_change(&self, mail: Mail) {
+        self.send_all(mail);
+        let core = self.core.borrow();
+        let relay = core.relay();
+        if let Some(at_ms) = relay.confirmed_at_ms() {
+            self.shared.confirmed_at_ms.store(at_ms, Ordering::Relaxed);
+        }
+        let catalog = relay.catalog();
+        let stamp = (catalog.revision(), catalog.digest());
+        let is_same = self.published_digest.get() == Some(stamp);
+        if is_same || relay.confirmed_at_ms().is_none() || catalog.rows().is_empty() {
+            return;
+        }
+        let is_first = self.published_digest.replace(Some(stamp)).is_none();
+        let directory = Directory::new(catalog);
+        telemetry::emit(
+            Event::CatalogInForce,
+            &[
+                field("revision", catalog.revision()),
+                field("listeners", directory.listeners().len()),
+                field("targets", directory.target_count()),
+                field("view_age_ms", clock::now_ms().saturating_sub(relay.confirmed_at_ms().unwrap_or(0))),
+            ],
+        );
+        self.shared.directory.store(Some(Arc::new(directory)));
+        if is_first {
+            telemetry::emit(Event::Ready, &[]);
+            self.shared.wake_data_thread();
+        }
+    }
+
+    fn send_all(&self, mail: Mail) {
+        for (to, message) in mail {
+            self.send(to, &message);
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &Message) {
+        let body = wire::encode(message);
+        let number = self.next_number.get() + 1;
+        self.next_number.set(number);
+        let frame = Frame {
+            kind: FrameKind::Control,
+            hops: 0,
+            listener_key: 0,
+            sender: self.shared.me,
+            origin: HostId(0),
+            sent_at_ms: number,
+            target: std::net::Ipv4Addr::UNSPECIFIED.into(),
+            body: &body,
+        };
+        let mut datagram = Vec::with_capacity(wire::FRAME_HEADER_BYTES + body.len());
+        frame.seal(&self.shared.peer_key, &mut datagram);
+        let socket = self.socket.clone();
+        // A UDP socket takes a datagram at once or, if its buffer is full, loses it like the network.
+        let sent = smol::future::block_on(futures_lite::future::poll_once(
+            socket.send_to(&datagram, to),
+        ));
+        if let Some(Err(error)) = sent {
+            telemetry::emit(Event::SendFailed, &[field("cause", error), field("to", to)]);
+        }
+    }
+
+    async fn receive(self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let now_ms = clock::now_ms();
+            if !self.is_after_pause(now_ms) {
+                self.on_datagram(from, &buffer[..length], now_ms);
+            }
+        }
+    }
+
+    /// Whether the process was paused a moment ago, so that what waited in the socket is of unknown
+    /// age and says nothing about the present.
+    fn is_after_pause(&self, now_ms: u64) -> bool {
+        let gap_ms = now_ms.saturating_sub(self.seen_at_ms.replace(now_ms));
+        if gap_ms > PAUSE_MS {
+            telemetry::emit(Event::Frozen, &[field("gap_ms", gap_ms)]);
+            self.distrust_until_ms.set(now_ms + DISTRUST_MS);
+        }
+        now_ms < self.distrust_until_ms.get()
+    }
+
+    fn on_datagram(&self, from: SocketAddr, datagram: &[u8], now_ms: u64) {
+        let Ok(frame) = Frame::open(datagram, &self.shared.peer_key) else { return };
+        if !self.with_core(|core| core.admit(frame.sender, frame.sent_at_ms)) {
+            return;
+        }
+        let message = match wire::decode(frame.body) {
+            Ok(message) => message,
+            Err(error) => {
+                telemetry::emit(
+                    Event::EntryRejected,
+                    &[field("from", from), field("cause", error)],
+                );
+                return;
+            }
+        };
+        match message {
+            Message::Probe(probe) => {
+                self.send_all(self.with_core(|core| core.on_probe(from, &probe, now_ms)));
+            }
+            Message::Relay(message) => {
+                let mail =
+                    self.with_core(|core| core.on_relay(from, frame.sender, message, now_ms));
+                self.after_change(mail);
+            }
+            Message::Loads(targets) => {
+                let load = HostLoad { host: frame.sender, targets };
+                // A full channel means that the data thread is behind; another report follows.
+                let _ = self.shared.commands.0.try_send(Command::Loads(load));
+            }
+            _ => {}
+        }
+    }
+
+    async fn tick_forever(self) {
+        let mut role = Role::Listener;
+        loop {
+            let now_ms = clock::now_ms();
+            self.is_after_pause(now_ms);
+            let mail = self.with_core(|core| core.tick(now_ms));
+            self.after_change(mail);
+            let next = self.with_core(|core| core.relay().role());
+            if next != role {
+                role = next;
+                // A change that is not yet taken up is enough.
+                let _ = self.role_changes.0.try_send(());
+            }
+            Timer::after(Duration::from_millis(TICK_MS)).await;
+        }
+    }
+
+    async fn follow_data_thread(self) {
+        while let Ok(notice) = self.shared.notices.1.recv().await {
+            match notice {
+                Notice::Loads(loads) => {
+                    let receivers = self.with_core(|core| core.load_receivers(&self.shared));
+                    let message = Message::Loads(loads);
+                    for to in receivers {
+                        self.send(to, &message);
+                    }
+                }
+                Notice::Check(target) => self.spawn(self.clone().check(target)),
+                Notice::Events(events, left_out) => log_decisions(&events, left_out),
+            }
+        }
+    }
+
+    async fn check(self, target: TargetId) {
+        let Some(directory) = self.shared.directory.load_full() else { return };
+        let Some(index) = directory.find_target(target) else { return };
+        let record = directory.target(index);
+        let Some(service) = directory.find_service(record.service_seed) else { return };
+        let started_at_ms = clock::now_ms();
+        let timeout = Duration::from_millis(CHECK_MS);
+        let answer =
+            store::get_text(record.address.into(), &service.health_path, timeout).await;
+        let verdict = match &answer {
+            Ok(_) => CheckVerdict::Answered,
+            Err(_) => CheckVerdict::Failed,
+        };
+        let shown = match answer {
+            Ok((status, _)) => format!("status {status}"),
+            Err(error) => error.to_string(),
+        };
+        telemetry::emit(
+            Event::TargetChecked,
+            &[
+                field("target", format_args!("{:x}", target.0)),
+                field("answer", shown),
+                field("took_ms", clock::now_ms() - started_at_ms),
+            ],
+        );
+        let command = Command::Checked { target, verdict, started_at_ms };
+        // The data thread asks again if the answer is lost.
+        let _ = self.shared.commands.0.try_send(command);
+    }
+
+    async fn follow_settings(self, path: PathBuf) {
+        loop {
+            Timer::after(Duration::from_millis(SETTINGS_MS)).await;
+            self.reload(&path);
+        }
+    }
+
+    fn reload(&self, path: &Path) {
+        match EdgeSettings::read(path) {
+            Ok(settings) => self.with_core(|core| core.set_seeds(&settings.seeds())),
+            Err(error) => telemetry::emit(
+                Event::SettingsRejected,
+                &[field("cause", format_args!("{error:#}"))],
+            ),
+        }
+    }
+
+    async fn wait_for_stop(&self, path: &Path) -> Result<()> {
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+            .wrap_err("signals cannot be followed")?;
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => {
+                    telemetry::emit(Event::Reloaded, &[]);
+                    self.reload(path);
+                }
+                Some(Ok(_)) => break,
+                Some(Err(error)) => return Err(error).wrap_err("signals cannot be followed"),
+                None => break,
+            }
+        }
+        self.is_stopping.set(true);
+        telemetry::emit(Event::Stopping, &[]);
+        let started_at_ms = clock::now_ms();
+        loop {
+            Timer::after(Duration::from_millis(TICK_MS)).await;
+            let now_ms = clock::now_ms();
+            let packet_at_ms = self.shared.packet_at_ms.load(Ordering::Relaxed);
+            let is_quiet = now_ms > packet_at_ms + QUIET_MS;
+            let lingered_ms = now_ms - started_at_ms;
+            if (lingered_ms >= LINGER_MS && is_quiet) || lingered_ms >= LINGER_MAX_MS {
+                break;
+            }
+        }
+        self.send_all(self.with_core(|core| core.leave(clock::now_ms())));
+        Ok(())
+    }
+}
+
+fn log_decisions(events: &[Decision], left_out: u64) {
+    for event in events {
+        log_decision(event);
+    }
+    if left_out > 0 {
+        telemetry::emit(Event::DecisionsLeftOut, &[field("count", left_out)]);
+    }
+}
+
+fn log_decision(event: &Decision) {
+    match event {
+        Decision::Opened { key, target, copy, flows, revision, view_age_ms } => telemetry::emit(
+            Event::FlowOpened,
+            &[
+                field("caller", key.caller),
+                field("listener", key.listener),
+                field("target", format_args!("{:x}", target.0)),
+                field("copy", copy),
+                field("flows", flows),
+                field("revision", revision),
+                field("view_age_ms", view_age_ms),
+            ],
+        ),
+        Decision::Reset { key, target, reason, revision, view_age_ms } => telemetry::emit(
+            Event::FlowReset,
+            &[
+                field("caller", key.caller),
+                field("listener", key.listener),
+                field("target", format_args!("{:x}", target.map_or(0, |target| target.0))),
+                field("code", reason.code()),
+                field("reason", format_args!("{reason:?}")),
+                field("revision", revision),
+                field("view_age_ms", view_age_ms),
+            ],
+        ),
+        Decision::Standing { target, standing, failed_openings, stalled_flows } => {
+            telemetry::emit(
+                Event::TargetStanding,
+                &[
+                    field("target", format_args!("{:x}", target.0)),
+                    field("standing", format_args!("{standing:?}")),
+                    field("failed_openings", failed_openings),
+                    field("stalled_flows", stalled_flows),
+                ],
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/pages.rs
@@ -0,0 +1,137 @@
+//! The pages over HTTP: readiness for the platform; metrics and status for operators.
+
+use std::{convert::Infallible, net::SocketAddr};
+
+use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn};
+use serde_json::{Value, json};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::FuturesIo;
+use tagged::{Counter, Counters};
+
+use crate::{Platform, clock, control_thread::State};
+
+/// Opens the port at `address`.
+pub(crate) async fn listen(name: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("131: /{name}: {address} cannot be bound"))
+}
+
+/// Serves the pages on `listener`.
+pub(crate) async fn serve<P: Platform>(state: State, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let connection = serve_connection::<P>(state.clone(), stream);
+        state.spawn(connection);
+    }
+}
+
+async fn serve_connection<P: Platform>(state: State, stream: TcpStream) {
+    let service = service_fn(|request| answer::<P>(&state, request));
+    // A client that hangs up is no concern of ours.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+}
+
+async fn answer<P: Platform>(
+    state: &State,
+    request: Request<Incoming>,
+) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path();
+    Ok(match path {
+        path if path == P::READY_PATH => {
+            let status = match state.is_ready() {
+                true => StatusCode::OK,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            respond(status, String::new())
+        }
+        "/metrics" => match state.shared.metrics.render() {
+            Ok(text) => respond(StatusCode::OK, text),
+            Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, format!("{error:#}\n")),
+        },
+        "/status" => respond(StatusCode::OK, status(state).to_string()),
+        path => {
+            let text = format!("no page {path}; there are {}, /metrics, /status\n", P::READY_PATH);
+            respond(StatusCode::NOT_FOUND, text)
+        }
+    })
+}
+
+fn status(state: &State) -> Value {
+    let shared = &state.shared;
+    let now_ms = clock::now_ms();
+    let traffic = shared.status.lock().map(|status| *status).unwrap_or_default();
+    let counters: serde_json::Map<String, Value> = Counters::NAMES
+        .iter()
+        .map(|(counter, name)| ((*name).to_owned(), traffic.counters.get(*counter).into()))
+        .collect();
+    state.with_core(|core| {
+        let relay = core.relay();
+        let members: Vec<Value> = core
+            .members()
+            .members()
+            .map(|member| {
+                json!({
+                    "host_id": format!("{:016x}", member.id.0),
+                    "peer_address": member.address,
+                    "state": format!("{:?}", member.state),
+                })
+            })
+            .collect();
+        json!({
+            "host": shared.settings.host,
+            "host_id": format!("{:016x}", shared.me.0),
+            "failure_domain": shared.settings.failure_domain,
+            "ready": state.is_ready(),
+            "role": format!("{:?}", relay.role()),
+            "revision": relay.catalog().revision(),
+            "view_age_ms": relay.confirmed_at_ms().map(|at_ms| now_ms.saturating_sub(at_ms)),
+            "rows": relay.catalog().rows().len(),
+            "flows": traffic.flows,
+            "counters": counters,
+            "members": members,
+        })
+    })
+}
+
+/// Registers the counters of the data thread.
+pub(crate) fn observe_counters(state: &State) {
+    for (counter, name) in Counters::NAMES {
+        let status = state.shared.status.clone();
+        state.shared.metrics.observe(name, move || {
+            let value = status.lock().map_or(0, |status| status.counters.get(counter));
+            vec![(value, Vec::new())]
+        });
+    }
+    observe_reasons(state, "flows_reset", Counters::resets);
+    observe_reasons(state, "packets_dropped", Counters::drops);
+    debug_assert_eq!(Counters::NAMES.len(), Counter::Dead as usize + 1);
+}
+
+fn observe_reasons(
+    state: &State,
+    name: &'static str,
+    read: fn(&Counters, tagged::Reason) -> u64,
+) {
+    let status = state.shared.status.clone();
+    state.shared.metrics.observe(name, move || {
+        let Ok(status) = status.lock() else { return Vec::new() };
+        tagged::Reason::ALL
+            .iter()
+            .map(|reason| {
+                let label = telemetry::Label::new("reason", i64::from(reason.code()));
+                (read(&status.counters, *reason), vec![label])
+            })
+            .collect()
+    });
+}
+
+fn respond(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/edge/src/shared.rs
@@ -0,0 +1,118 @@
+//! What the two threads share.
+
+use std::{
+    net::UdpSocket,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use catalog::{Directory, TargetId};
+use eyre::{Result, WrapErr};
+use routing::HostId;
+use settings::name_seed;
+use smol::channel::{Receiver, Sender, bounded};
+use tagged::{CheckVerdict, Counters, Event, HostLoad, TargetLoad};
+use telemetry::Metrics;
+use wire::PeerKey;
+
+use crate::{EdgeSettings, clock};
+
+/// How many messages may wait between the threads.
+const CHANNEL_MESSAGES: usize = 1_024;
+
+/// What the data thread tells the control thread.
+#[derive(Debug)]
+pub(crate) enum Notice {
+    /// The flows that this host sees have changed.
+    Loads(Vec<TargetLoad>),
+    /// A target is to be checked.
+    Check(TargetId),
+    /// Decisions, and how many were left out.
+    Events(Vec<Event>, u64),
+}
+
+/// What the control thread tells the data thread.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// The flows that another host sees.
+    Loads(HostLoad),
+    /// A check has ended.
+    Checked {
+        target: TargetId,
+        verdict: CheckVerdict,
+        /// When the check began.
+        started_at_ms: u64,
+    },
+}
+
+/// What the data thread publishes about itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Status {
+    pub(crate) counters: Counters,
+    pub(crate) flows: usize,
+}
+
+/// What the two threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) me: HostId,
+    pub(crate) incarnation: u64,
+    pub(crate) domain_seed: u64,
+    pub(crate) peer_key: PeerKey,
+    pub(crate) data: UdpSocket,
+    pub(crate) directory: ArcSwapOption<Directory>,
+    /// When the directory was last known to be current, by the steady clock.
+    pub(crate) confirmed_at_ms: AtomicU64,
+    /// When a packet last came, by the steady clock.
+    pub(crate) packet_at_ms: AtomicU64,
+    pub(crate) notices: (Sender<Notice>, Receiver<Notice>),
+    pub(crate) commands: (Sender<Command>, Receiver<Command>),
+    pub(crate) status: Arc<Mutex<Status>>,
+    pub(crate) metrics: Metrics,
+    is_exiting: AtomicBool,
+}
+
+impl Shared {
+    /// Opens the data socket of the host that `settings` describes.
+    pub(crate) fn new(settings: EdgeSettings) -> Result<Arc<Shared>> {
+        let data = UdpSocket::bind(settings.data_address)
+            .wrap_err_with(|| format!("131: /data_address: {}", settings.data_address))?;
+        Ok(Arc::new(Shared {
+            me: HostId::from_address(settings.peer_address),
+            incarnation: clock::start_number(),
+            domain_seed: name_seed(&settings.failure_domain),
+            peer_key: PeerKey::parse(&settings.peer_key)?,
+            data,
+            settings,
+            directory: ArcSwapOption::empty(),
+            confirmed_at_ms: AtomicU64::new(0),
+            packet_at_ms: AtomicU64::new(0),
+            notices: bounded(CHANNEL_MESSAGES),
+            commands: bounded(CHANNEL_MESSAGES),
+            status: Arc::default(),
+            metrics: Metrics::new()?,
+            is_exiting: AtomicBool::new(false),
+        }))
+    }
+
+    /// Tells the data thread to end.
+    pub(crate) fn request_exit(&self) {
+        self.is_exiting.store(true, Ordering::Relaxed);
+        self.wake_data_thread();
+    }
+
+    /// Whether the data thread has to end.
+    pub(crate) fn is_exiting(&self) -> bool {
+        self.is_exiting.load(Ordering::Relaxed)
+    }
+
+    /// Ends the data thread's wait for packets, by a datagram that is no packet.
+    pub(crate) fn wake_data_thread(&self) {
+        // If it cannot be sent, the wait ends by its time limit.
+        let _ = self.data.send_to(&[0], self.settings.data_address);
+    }
+}
--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use routing::{HostId, mix};
+use routing::HostId;
 use wire::PeerKey;
 
 /// The identity and the limits of one host.
@@ -53,12 +53,6 @@
 impl HostConfig {
     /// The identity, which follows from the peer address.
     pub fn id(&self) -> HostId {
-        let ip = match self.peer_address.ip() {
-            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-            IpAddr::V6(ip) => ip,
-        };
-        let bits = ip.to_bits();
-        let address = mix(bits as u64, (bits >> 64) as u64);
-        HostId(mix(address, u64::from(self.peer_address.port())))
+        HostId::from_address(self.peer_address)
     }
 }
--- a/crates/host/src/traffic/mod.rs
+++ b/crates/host/src/traffic/mod.rs
@@ -284,6 +284,10 @@
             Control::Probe(_) | Control::Revision(_) => {
                 out.events.push(TrafficEvent::Control { from, sender: frame.sender, message });
             }
+            // Hosts with tagged affinity speak these; they do not mix with hosts that pin flows.
+            Control::Relay(_) | Control::Loads(_) => {
+                self.counters.count_drop(DropReason::BadPeerDatagram);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/relay/src/assembly.rs
@@ -0,0 +1,47 @@
+//! Collects the parts of a transfer of rows.
+
+use catalog::Key;
+use routing::HostId;
+
+use crate::{RowBatch, Scope};
+
+/// A transfer of which some parts have arrived.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    from: HostId,
+    revision: u64,
+    scope: Scope,
+    after: u64,
+    missing: Vec<u32>,
+    /// The keys of all rows so far, for transfers of every row.
+    pub(crate) keys: Vec<Key>,
+}
+
+impl Assembly {
+    /// Starts with the first part that arrived.
+    pub(crate) fn new(from: HostId, batch: &RowBatch) -> Assembly {
+        Assembly {
+            from,
+            revision: batch.heartbeat.revision,
+            scope: batch.scope,
+            after: batch.after,
+            missing: (0..batch.parts).collect(),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Whether `batch` belongs to this transfer.
+    pub(crate) fn matches(&self, from: HostId, batch: &RowBatch) -> bool {
+        self.from == from
+            && self.revision == batch.heartbeat.revision
+            && self.scope == batch.scope
+            && self.after == batch.after
+    }
+
+    /// Notes a part. Returns whether all have arrived.
+    pub(crate) fn add(&mut self, batch: &RowBatch) -> bool {
+        self.missing.retain(|part| *part != batch.part);
+        self.keys.extend(batch.rows.iter().map(|row| row.record.key()));
+        self.missing.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/config.rs
@@ -0,0 +1,42 @@
+//! How the relay is paced.
+
+/// Bounds and periods, in milliseconds unless said otherwise.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// How often a reader sends heartbeats.
+    pub heartbeat_ms: u64,
+    /// How old a confirmation may be before others are asked. Longer than a waiting read of the
+    /// store and a heartbeat together, shorter than the time in which settings have to be in force.
+    pub fresh_ms: u64,
+    /// How long others may take to answer before the host reads the store itself.
+    pub answer_ms: u64,
+    /// How long a host that knows nothing gives others to answer before it reads the store: a few
+    /// round trips, since callers wait for it.
+    pub newcomer_ms: u64,
+    /// By how much each further host of a domain waits longer before it reads as well.
+    pub rank_step_ms: u64,
+    /// How many hosts a host passes a push on to.
+    pub fanout: usize,
+    /// How many hosts are asked at a time.
+    pub asked: usize,
+    /// How many rows one datagram carries at most; a row takes about 100 bytes.
+    pub rows_per_batch: usize,
+    /// How long rows that are gone are remembered: longer than a flow lives.
+    pub gone_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            heartbeat_ms: 400,
+            fresh_ms: 1_500,
+            answer_ms: 200,
+            newcomer_ms: 60,
+            rank_step_ms: 300,
+            fanout: 16,
+            asked: 3,
+            rows_per_batch: 64,
+            gone_ms: 75_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,25 @@
+//! How all hosts come to hold the current catalog while few of them read the store.
+//!
+//! One host of each failure domain, the reader, follows the store. It pushes changes and heartbeats
+//! down a tree of the domain's hosts, and exchanges heartbeats with the readers of other domains. A
+//! host whose catalog has not been confirmed as current for a while asks others, and then reads the
+//! store itself.
+//!
+//! This crate does no I/O and has no clock: messages, readings and a steady time go in, messages
+//! come out. Who is alive is decided elsewhere (see `membership`).
+//!
+//! Architecture Invariant: the confirmed time of a catalog is never later than the moment at which
+//! a reader knew it to be current.
+
+mod assembly;
+mod config;
+mod message;
+mod recovery;
+mod relay;
+
+pub use crate::{
+    config::Config,
+    message::{Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope},
+    recovery::Recovery,
+    relay::{Absent, Changes, Relay, Role},
+};
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,481 @@
+//! The relay's state at one host.
+
+use std::net::SocketAddr;
+
+use catalog::{Catalog, Key, Listing, Presence, Record, Row};
+use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
+use routing::{HostId, score};
+
+use crate::{
+    Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope, assembly::Assembly,
+};
+
+/// The number that decides which host of a domain reads.
+const READER_SEED: u64 = 0x7265_6164_6572_7321;
+
+/// How many hosts of a domain read at the same time while the store fails and they hear of each
+/// other; more would only add calls.
+const FAILING_READERS_MAX: usize = 3;
+
+/// Whether a host reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It follows the store.
+    Reader,
+    /// It hears from others.
+    Listener,
+}
+
+/// What a host read from the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// The store's revision of the reading.
+    pub revision: u64,
+    /// The records that are listed, with their revisions.
+    pub listed: Vec<(u64, Record)>,
+    /// What is no longer listed.
+    pub absent: Absent,
+    /// What absence means.
+    pub listing: Listing,
+    /// The moment for which the reading holds, by the steady clock.
+    pub proven_at_ms: u64,
+}
+
+/// Which records a reading found to be absent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Absent {
+    /// The reading covers everything: whatever it does not list.
+    Unlisted,
+    /// These, each with the revision of its removal.
+    Removed(Vec<(u64, Key)>),
+}
+
+/// The catalog of one host, and what is needed to keep it current.
+#[derive(Debug)]
+pub struct Relay {
+    config: Config,
+    me: HostId,
+    domain_seed: u64,
+    catalog: Catalog,
+    peers: Vec<Peer>,
+    /// When the catalog was last known to be current, by anyone.
+    confirmed_at_ms: Option<u64>,
+    /// The same, as others told.
+    told_at_ms: Option<u64>,
+    /// When the host started to listen.
+    started_at_ms: u64,
+    /// When others were last asked, and when one of them last told anything.
+    asked_at_ms: Option<u64>,
+    heard_at_ms: Option<u64>,
+    role: Role,
+    next_heartbeat_ms: u64,
+    assembly: Option<Assembly>,
+    gone: Vec<(u64, Key)>,
+    rng: StdRng,
+}
+
+impl Relay {
+    /// Creates the state of the host `me`. `seed` makes its choices repeatable.
+    pub fn new(config: Config, me: HostId, domain_seed: u64, now_ms: u64, seed: u64) -> Relay {
+        Relay {
+            config,
+            me,
+            domain_seed,
+            catalog: Catalog::default(),
+            peers: Vec::new(),
+            confirmed_at_ms: None,
+            told_at_ms: None,
+            started_at_ms: now_ms,
+            asked_at_ms: None,
+            heard_at_ms: None,
+            role: Role::Listener,
+            next_heartbeat_ms: 0,
+            assembly: None,
+            gone: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The catalog.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Whether this host reads the store now.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// When the catalog was last known to be current, by the steady clock.
+    pub fn confirmed_at_ms(&self) -> Option<u64> {
+        self.confirmed_at_ms
+    }
+
+    /// Names the other hosts that are alive.
+    pub fn set_peers(&mut self, mut peers: Vec<Peer>) {
+        peers.sort_by_key(|peer| peer.id);
+        self.peers = peers;
+    }
+
+    /// Notes that the process was paused for `gap_ms` of which the steady clock shows nothing.
+    pub fn on_pause(&mut self, gap_ms: u64) {
+        for moment in [&mut self.confirmed_at_ms, &mut self.told_at_ms] {
+            *moment = moment.and_then(|at_ms| at_ms.checked_sub(gap_ms));
+        }
+    }
+
+    /// Asks `address` for what it has, before any host is known.
+    pub fn ask(&self, address: SocketAddr) -> Outgoing {
+        Outgoing { to: address, message: Message::Pull(self.pull(Scope::Changes)) }
+    }
+
+    /// Takes over what this host read from the store and gives the messages that spread it.
+    pub fn on_changes(&mut self, changes: Changes, now_ms: u64) -> Vec<Outgoing> {
+        let Changes { revision, listed, absent, listing, proven_at_ms } = changes;
+        let after = self.catalog.revision();
+        let mut news = Vec::new();
+        let mut keys: Vec<Key> = Vec::with_capacity(listed.len());
+        for (revision, record) in listed {
+            keys.push(record.key());
+            let row = Row { revision, presence: Presence::Listed, record };
+            if self.catalog.merge(row.clone()) {
+                news.push(row);
+            }
+        }
+        match absent {
+            Absent::Unlisted => {
+                keys.sort_unstable();
+                news.extend(self.catalog.mark_absent(revision, listing, |row| {
+                    keys.binary_search(&row.record.key()).is_err()
+                }));
+            }
+            Absent::Removed(removed) => {
+                for (revision, key) in removed {
+                    news.extend(
+                        self.catalog
+                            .mark_absent(revision, listing, |row| row.record.key() == key),
+                    );
+                }
+            }
+        }
+        self.catalog.advance(revision);
+        self.confirm(proven_at_ms);
+        self.note_gone(&news, now_ms);
+        if news.is_empty() { Vec::new() } else { self.push(after, news, now_ms) }
+    }
+
+    /// Takes records that lapsed for gone, once the store has been well for long enough.
+    pub fn settle(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        let revision = self.catalog.revision();
+        let is_lapsed = |row: &Row| row.presence == Presence::Lapsed;
+        let news = self.catalog.mark_absent(revision, Listing::Conclusive, is_lapsed);
+        self.note_gone(&news, now_ms);
+        if news.is_empty() { Vec::new() } else { self.push(revision, news, now_ms) }
+    }
+
+    /// Handles a message of the host `sender` at `from`.
+    pub fn on_message(
+        &mut self,
+        from: SocketAddr,
+        sender: HostId,
+        message: Message,
+        now_ms: u64,
+    ) -> Vec<Outgoing> {
+        match message {
+            Message::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat, now_ms),
+            Message::Pull(pull) => self.answer(from, pull, now_ms),
+            Message::Rows(batch) => self.on_rows(from, sender, batch, now_ms),
+        }
+    }
+
+    /// Advances to `now_ms`: heartbeats, questions, the role.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        self.forget_gone(now_ms);
+        let mut out = self.ask_if_stale(now_ms);
+        self.role = self.decide_role(now_ms);
+        if self.role == Role::Reader && now_ms >= self.next_heartbeat_ms {
+            self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
+            out.extend(self.send_heartbeats(now_ms));
+        }
+        out
+    }
+
+    /// When [`Relay::tick`] has something to do next.
+    pub fn next_tick_ms(&self, now_ms: u64) -> u64 {
+        let period_ms = self.config.answer_ms;
+        match self.role {
+            Role::Reader => self.next_heartbeat_ms.min(now_ms + period_ms),
+            Role::Listener => now_ms + period_ms,
+        }
+    }
+
+    fn confirm(&mut self, at_ms: u64) {
+        self.confirmed_at_ms = self.confirmed_at_ms.max(Some(at_ms));
+    }
+
+    fn heartbeat(&self, root: HostId, now_ms: u64) -> Option<Heartbeat> {
+        let confirmed_at_ms = self.confirmed_at_ms?;
+        Some(Heartbeat {
+            root,
+            revision: self.catalog.revision(),
+            digest: self.catalog.digest(),
+            age_ms: now_ms.saturating_sub(confirmed_at_ms),
+        })
+    }
+
+    fn pull(&self, scope: Scope) -> Pull {
+        Pull { revision: self.catalog.revision(), digest: self.catalog.digest(), scope }
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        from: SocketAddr,
+        heartbeat: Heartbeat,
+        now_ms: u64,
+    ) -> Vec<Outgoing> {
+        self.heard_at_ms = Some(now_ms);
+        if heartbeat.revision < self.catalog.revision() {
+            return Vec::new();
+        }
+        let is_same = heartbeat.digest == self.catalog.digest();
+        if heartbeat.revision == self.catalog.revision() && !is_same {
+            return vec![Outgoing { to: from, message: Message::Pull(self.pull(Scope::All)) }];
+        }
+        if !is_same {
+            return vec![Outgoing { to: from, message: Message::Pull(self.pull(Scope::Changes)) }];
+        }
+        self.catalog.advance(heartbeat.revision);
+        let at_ms = now_ms.saturating_sub(heartbeat.age_ms);
+        self.told_at_ms = self.told_at_ms.max(Some(at_ms));
+        self.confirm(at_ms);
+        let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
+        self.send_down(heartbeat.root, &Message::Heartbeat(next))
+    }
+
+    fn answer(&self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
+        let Some(heartbeat) = self.heartbeat(HostId(0), now_ms) else { return Vec::new() };
+        let has_news = self.catalog.revision() > pull.revision || pull.scope == Scope::All;
+        if !has_news || self.catalog.digest() == pull.digest {
+            return vec![Outgoing { to, message: Message::Heartbeat(heartbeat) }];
+        }
+        let (scope, after) = match pull.scope {
+            Scope::All => (Scope::All, 0),
+            Scope::Changes => (Scope::Changes, pull.revision),
+        };
+        let rows: Vec<Row> = self.catalog.changed_after(after).cloned().collect();
+        self.batches(heartbeat, scope, after, &rows)
+            .into_iter()
+            .map(|message| Outgoing { to, message })
+            .collect()
+    }
+
+    fn on_rows(
+        &mut self,
+        from: SocketAddr,
+        sender: HostId,
+        batch: RowBatch,
+        now_ms: u64,
+    ) -> Vec<Outgoing> {
+        self.heard_at_ms = Some(now_ms);
+        let root = batch.heartbeat.root;
+        let mut out = Vec::new();
+        let news: Vec<Row> =
+            batch.rows.iter().filter(|row| self.catalog.merge((*row).clone())).cloned().collect();
+        if !news.is_empty() && root != HostId(0) {
+            out.extend(self.send_down(root, &Message::Rows(batch.clone())));
+        }
+        self.note_gone(&news, now_ms);
+        if !self.is_complete(sender, &batch) {
+            return out;
+        }
+        // Rows that are only newer than a gap lead to a question for what is in the gap.
+        if batch.after <= self.catalog.revision() {
+            self.catalog.advance(batch.heartbeat.revision);
+        }
+        // The rows were passed on already; the heartbeat in them is for this host alone.
+        let heartbeat = Heartbeat { root: HostId(0), ..batch.heartbeat };
+        out.extend(self.on_heartbeat(from, heartbeat, now_ms));
+        out
+    }
+
+    /// Notes a part of a transfer. Returns whether the transfer is complete.
+    fn is_complete(&mut self, sender: HostId, batch: &RowBatch) -> bool {
+        let current = self.assembly.take().filter(|assembly| assembly.matches(sender, batch));
+        let mut assembly = current.unwrap_or_else(|| Assembly::new(sender, batch));
+        if !assembly.add(batch) {
+            self.assembly = Some(assembly);
+            return false;
+        }
+        if batch.scope == Scope::All {
+            let mut keys = assembly.keys;
+            keys.sort_unstable();
+            let revision = batch.heartbeat.revision;
+            self.catalog.mark_absent(revision, Listing::Conclusive, |row| {
+                keys.binary_search(&row.record.key()).is_err()
+            });
+        }
+        true
+    }
+
+    fn push(&self, after: u64, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
+        let Some(heartbeat) = self.heartbeat(self.me, now_ms) else { return Vec::new() };
+        self.batches(heartbeat, Scope::Changes, after, &rows)
+            .iter()
+            .flat_map(|message| self.send_down(self.me, message))
+            .collect()
+    }
+
+    fn batches(
+        &self,
+        heartbeat: Heartbeat,
+        scope: Scope,
+        after: u64,
+        rows: &[Row],
+    ) -> Vec<Message> {
+        let parts = rows.len().div_ceil(self.config.rows_per_batch).max(1) as u32;
+        let mut chunks = rows.chunks(self.config.rows_per_batch);
+        (0..parts)
+            .map(|part| {
+                let rows = chunks.next().unwrap_or(&[]).to_vec();
+                Message::Rows(RowBatch { heartbeat, scope, after, part, parts, rows })
+            })
+            .collect()
+    }
+
+    /// The message for the hosts below this one in the tree of `root`, whose domain is this host's.
+    fn send_down(&self, root: HostId, message: &Message) -> Vec<Outgoing> {
+        let mut members = self.domain_hosts();
+        let Ok(start) = members.binary_search_by_key(&root, |member| member.0) else {
+            return Vec::new();
+        };
+        members.rotate_left(start);
+        let Some(position) = members.iter().position(|member| member.0 == self.me) else {
+            return Vec::new();
+        };
+        let first = position * self.config.fanout + 1;
+        members
+            .iter()
+            .skip(first)
+            .take(self.config.fanout)
+            .filter_map(|member| member.1)
+            .map(|to| Outgoing { to, message: message.clone() })
+            .collect()
+    }
+
+    /// The hosts of this domain, sorted, this one without an address.
+    fn domain_hosts(&self) -> Vec<(HostId, Option<SocketAddr>)> {
+        let mut members: Vec<(HostId, Option<SocketAddr>)> = self
+            .peers
+            .iter()
+            .filter(|peer| peer.domain_seed == self.domain_seed)
+            .map(|peer| (peer.id, Some(peer.address)))
+            .collect();
+        members.push((self.me, None));
+        members.sort_unstable_by_key(|member| member.0);
+        members
+    }
+
+    /// Heartbeats for this domain and for the readers of the others.
+    fn send_heartbeats(&self, now_ms: u64) -> Vec<Outgoing> {
+        let Some(heartbeat) = self.heartbeat(self.me, now_ms) else { return Vec::new() };
+        let mut out = self.send_down(self.me, &Message::Heartbeat(heartbeat));
+        let message = Message::Heartbeat(Heartbeat { root: HostId(0), ..heartbeat });
+        let readers = self.other_readers();
+        out.extend(readers.into_iter().map(|to| Outgoing { to, message: message.clone() }));
+        out
+    }
+
+    /// The first reader of each other domain.
+    fn other_readers(&self) -> Vec<SocketAddr> {
+        let mut others: Vec<&Peer> =
+            self.peers.iter().filter(|peer| peer.domain_seed != self.domain_seed).collect();
+        others.sort_by_key(|peer| (peer.domain_seed, std::cmp::Reverse(rank_score(peer.id))));
+        others.dedup_by_key(|peer| peer.domain_seed);
+        others.iter().map(|peer| peer.address).collect()
+    }
+
+    fn ask_if_stale(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        // Others are asked early enough that their answers come before the catalog is stale.
+        let limit_ms = self.config.fresh_ms - self.config.answer_ms;
+        let is_due =
+            self.asked_at_ms.is_none_or(|asked_at_ms| now_ms >= asked_at_ms + 2 * self.config.answer_ms);
+        if self.age_ms(self.told_at_ms, now_ms) < limit_ms || !is_due || self.peers.is_empty() {
+            return Vec::new();
+        }
+        if self.role == Role::Reader && self.age_ms(self.confirmed_at_ms, now_ms) < limit_ms {
+            return Vec::new();
+        }
+        self.asked_at_ms = Some(now_ms);
+        let message = Message::Pull(self.pull(Scope::Changes));
+        let mut peers = self.peers.clone();
+        peers.shuffle(&mut self.rng);
+        peers.truncate(self.config.asked);
+        peers.iter().map(|peer| Outgoing { to: peer.address, message: message.clone() }).collect()
+    }
+
+    fn decide_role(&self, now_ms: u64) -> Role {
+        let is_new = now_ms < self.started_at_ms + self.config.newcomer_ms;
+        if self.confirmed_at_ms.is_none() && is_new {
+            return Role::Listener;
+        }
+        let rank = self.rank();
+        let told_age_ms = self.age_ms(self.told_at_ms, now_ms);
+        let is_reader = match rank {
+            0 => true,
+            _ if told_age_ms < self.config.fresh_ms => false,
+            // Nobody tells anything: this host is alone and has to read by itself.
+            _ if !self.is_heard(now_ms) => true,
+            rank if rank < FAILING_READERS_MAX => {
+                told_age_ms >= self.config.fresh_ms + rank as u64 * self.config.rank_step_ms
+            }
+            _ => false,
+        };
+        if is_reader { Role::Reader } else { Role::Listener }
+    }
+
+    fn is_heard(&self, now_ms: u64) -> bool {
+        self.heard_at_ms.is_some_and(|heard_at_ms| now_ms < heard_at_ms + self.config.fresh_ms)
+    }
+
+    /// How long ago `moment` was; before the first, since the start of this host.
+    fn age_ms(&self, moment: Option<u64>, now_ms: u64) -> u64 {
+        match moment {
+            Some(at_ms) => now_ms.saturating_sub(at_ms),
+            // A host that knows nothing is stale as soon as others had time to answer.
+            None => {
+                let waited_ms = now_ms.saturating_sub(self.started_at_ms);
+                self.config.fresh_ms - self.config.answer_ms + waited_ms
+            }
+        }
+    }
+
+    /// How many hosts of this domain are to read before this one.
+    fn rank(&self) -> usize {
+        let mine = rank_score(self.me);
+        self.peers
+            .iter()
+            .filter(|peer| peer.domain_seed == self.domain_seed && rank_score(peer.id) > mine)
+            .count()
+    }
+
+    fn note_gone(&mut self, news: &[Row], now_ms: u64) {
+        let gone = news.iter().filter(|row| row.presence == Presence::Gone);
+        self.gone.extend(gone.map(|row| (now_ms, row.record.key())));
+    }
+
+    fn forget_gone(&mut self, now_ms: u64) {
+        let old = self.gone.partition_point(|entry| entry.0 + self.config.gone_ms <= now_ms);
+        if old == 0 {
+            return;
+        }
+        let mut keys: Vec<Key> = self.gone.drain(..old).map(|entry| entry.1).collect();
+        keys.sort_unstable();
+        self.catalog.forget(|row| {
+            row.presence == Presence::Gone && keys.binary_search(&row.record.key()).is_ok()
+        });
+    }
+}
+
+fn rank_score(id: HostId) -> u64 {
+    score(READER_SEED, id.0)
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,11 +1,25 @@
 //! The home and the backup host of each bucket.
 
+use std::net::{IpAddr, SocketAddr};
+
 use crate::{mix, score};
 
 /// The identity of a host, stable over its restarts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HostId(pub u64);
 
+impl HostId {
+    /// The identity of the host with this peer address.
+    pub fn from_address(address: SocketAddr) -> HostId {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        let bits = ip.to_bits();
+        HostId(mix(mix(bits as u64, (bits >> 64) as u64), u64::from(address.port())))
+    }
+}
+
 /// What the placement needs to know of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostEntry {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -11,6 +11,10 @@
     NoAnswer(String),
     /// The store answered something that the interface does not allow.
     Protocol(String),
+    /// The store turned the call away without doing anything; the status code.
+    Refused(u16),
+    /// The store no longer has the history that was asked for.
+    HistoryLost,
 }
 
 impl StoreError {
@@ -20,6 +24,8 @@
             StoreError::Unreachable(_) => 201,
             StoreError::NoAnswer(_) => 202,
             StoreError::Protocol(_) => 203,
+            StoreError::Refused(_) => 204,
+            StoreError::HistoryLost => 205,
         }
     }
 }
@@ -31,6 +37,8 @@
             StoreError::Unreachable(cause) => write!(f, "{code}: store unreachable: {cause}"),
             StoreError::NoAnswer(cause) => write!(f, "{code}: store did not answer: {cause}"),
             StoreError::Protocol(cause) => write!(f, "{code}: unexpected answer: {cause}"),
+            StoreError::Refused(status) => write!(f, "{code}: refused with status {status}"),
+            StoreError::HistoryLost => write!(f, "{code}: the history was discarded"),
         }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,11 +15,13 @@
 mod error;
 mod http;
 mod key_value;
+mod ranges;
 
 pub use crate::{
     accept::{Accepted, Edit, Rejection, accept, history, load, read_root},
     client::{PlatformClient, ServiceHost},
     error::StoreError,
-    http::{get_text, post_text},
+    http::{Answer, Connection, get_text, post_text},
     key_value::{Entry, KeyValue, Read, Swap, Wait},
+    ranges::{Change, ChangeList, Item, Listing, RangeStore},
 };
--- /dev/null
+++ b/crates/store/src/ranges.rs
@@ -0,0 +1,65 @@
+//! What the project needs of a store whose keys are followed by their prefix.
+
+use std::{future::Future, time::Duration};
+
+use crate::StoreError;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The store's revision of the last change.
+    pub revision: u64,
+}
+
+/// Every item of a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// The items, sorted by key.
+    pub items: Vec<Item>,
+    /// The store's revision before the first page was read; later changes may be included.
+    pub revision: u64,
+}
+
+/// One change of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// It was written.
+    Written(Item),
+    /// It was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// The store's revision of the removal.
+        revision: u64,
+    },
+}
+
+/// The changes after a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeList {
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// The store's revision up to which they are complete.
+    pub revision: u64,
+}
+
+/// A store that lists prefixes and tells what changes below them.
+pub trait RangeStore {
+    /// Lists every item below `prefix`.
+    fn list(&mut self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>>;
+
+    /// Waits up to `wait` for changes below `prefix` after `revision`. Without any the list is empty.
+    ///
+    /// Fails with [`StoreError::HistoryLost`] if the changes are no longer known; the prefix has to
+    /// be listed again.
+    fn watch(
+        &mut self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<ChangeList, StoreError>>;
+}
--- /dev/null
+++ b/crates/tagged/src/config.rs
@@ -0,0 +1,46 @@
+//! The bounds of the decisions of one host.
+
+/// Times in milliseconds, and sizes of tables.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// The number of this host's failure domain.
+    pub domain_seed: u64,
+    /// How old a view may be for a refusal to be based on it: less than the time in which settings
+    /// have to be in force.
+    pub view_age_max_ms: u64,
+    /// How long a target may take to answer an opening. Callers repeat it after 200 ms.
+    pub handshake_ms: u64,
+    /// How long an opening is remembered: a caller gives up after 1.4 s.
+    pub opening_memory_ms: u64,
+    /// How long a flow without packets counts as open here; its packets may have moved to another
+    /// host.
+    pub flow_memory_ms: u64,
+    /// How many flows are remembered.
+    pub flows_max: usize,
+    /// How long a report of another host about its flows counts.
+    pub report_ms: u64,
+    /// How long a tag has to be unknown, on views that are newer than its first packet, before its
+    /// target counts as gone.
+    pub unknown_ms: u64,
+    /// How long a suspicion lasts without confirmation.
+    pub suspicion_ms: u64,
+    /// How long a target that failed its check counts as dead before it is checked again.
+    pub dead_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            domain_seed: 0,
+            view_age_max_ms: 2_000,
+            handshake_ms: 150,
+            opening_memory_ms: 1_500,
+            flow_memory_ms: 6_000,
+            flows_max: 65_536,
+            report_ms: 5_000,
+            unknown_ms: 1_000,
+            suspicion_ms: 2_000,
+            dead_ms: 2_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tagged/src/counters.rs
@@ -0,0 +1,73 @@
+//! Counters of what a host did.
+
+use crate::Reason;
+
+/// What is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(usize)]
+pub enum Counter {
+    /// Packets towards a target.
+    Forwarded,
+    /// Flows that got a target.
+    Opened,
+    /// Openings that were tried on another target.
+    Retried,
+    /// Packets that waited for a view.
+    Held,
+    /// Targets that were suspected.
+    Suspected,
+    /// Targets that failed their check.
+    Dead,
+}
+
+const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+
+/// The counters of one host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    counts: [u64; COUNTER_COUNT],
+    resets: [u64; Reason::ALL.len()],
+    drops: [u64; Reason::ALL.len()],
+}
+
+impl Counters {
+    /// Every counter with its name in metrics.
+    pub const NAMES: [(Counter, &'static str); COUNTER_COUNT] = [
+        (Counter::Forwarded, "packets_forwarded"),
+        (Counter::Opened, "flows_opened"),
+        (Counter::Retried, "openings_retried"),
+        (Counter::Held, "packets_held"),
+        (Counter::Suspected, "targets_suspected"),
+        (Counter::Dead, "targets_dead"),
+    ];
+
+    /// Adds one.
+    pub fn count(&mut self, counter: Counter) {
+        self.counts[counter as usize] += 1;
+    }
+
+    /// Counts a flow that was reset.
+    pub fn count_reset(&mut self, reason: Reason) {
+        self.resets[reason.index()] += 1;
+    }
+
+    /// Counts a dropped packet.
+    pub fn count_drop(&mut self, reason: Reason) {
+        self.drops[reason.index()] += 1;
+    }
+
+    /// The value of `counter`.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.counts[counter as usize]
+    }
+
+    /// How many flows were reset for `reason`.
+    pub fn resets(&self, reason: Reason) -> u64 {
+        self.resets[reason.index()]
+    }
+
+    /// How many packets were dropped for `reason`.
+    pub fn drops(&self, reason: Reason) -> u64 {
+        self.drops[reason.index()]
+    }
+}
--- /dev/null
+++ b/crates/tagged/src/flows.rs
@@ -0,0 +1,107 @@
+//! The flows whose packets came past this host lately.
+//!
+//! A record is soft state: losing it changes counts, never where a packet goes.
+
+use catalog::TargetId;
+use hashbrown::HashMap;
+
+use crate::{FlowKey, Segment, SegmentKind};
+
+/// What is known of one flow.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Flow {
+    pub(crate) target: TargetId,
+    pub(crate) last_packet_ms: u64,
+    last_sequence: u32,
+    last_acknowledged: u32,
+    /// How many times the last data was sent again without an answer.
+    pub(crate) repeats: u8,
+    /// Whether a request is under way: data was sent and nothing has come back since.
+    pub(crate) is_busy: bool,
+}
+
+/// What a packet tells about its flow's target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Signal {
+    /// Nothing.
+    None,
+    /// The target answered something.
+    Progress,
+    /// The caller sent the same data again, for the n-th time.
+    Repeat(u8),
+}
+
+/// The flows of this host.
+#[derive(Debug, Default)]
+pub(crate) struct FlowTable {
+    flows: HashMap<FlowKey, Flow>,
+}
+
+impl FlowTable {
+    pub(crate) fn get(&self, key: &FlowKey) -> Option<&Flow> {
+        self.flows.get(key)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(crate) fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        self.flows.remove(key)
+    }
+
+    /// Adds a flow that was opened here, or whose first packet came here after it was opened.
+    pub(crate) fn add(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
+        let flow = Flow {
+            target,
+            last_packet_ms: now_ms,
+            last_sequence: segment.sequence,
+            last_acknowledged: segment.acknowledged,
+            repeats: 0,
+            is_busy: segment.data_bytes > 0,
+        };
+        self.flows.insert(segment.key, flow);
+    }
+
+    /// Updates a flow by one of its packets.
+    pub(crate) fn update(&mut self, segment: &Segment, now_ms: u64) -> Signal {
+        let Some(flow) = self.flows.get_mut(&segment.key) else { return Signal::None };
+        flow.last_packet_ms = now_ms;
+        if matches!(segment.kind, SegmentKind::Open { .. }) {
+            return Signal::None;
+        }
+        // Serial number arithmetic: the numbers wrap around.
+        let has_advanced = segment.acknowledged.wrapping_sub(flow.last_acknowledged) as i32 > 0;
+        let is_new_data = segment.sequence.wrapping_sub(flow.last_sequence) as i32 > 0;
+        let is_first_data = segment.data_bytes > 0 && (is_new_data || !flow.is_busy);
+        if has_advanced {
+            flow.last_acknowledged = segment.acknowledged;
+            flow.repeats = 0;
+            flow.is_busy = segment.data_bytes > 0;
+            flow.last_sequence = segment.sequence;
+            return Signal::Progress;
+        }
+        if is_first_data {
+            flow.last_sequence = segment.sequence;
+            flow.is_busy = true;
+            flow.repeats = 0;
+            return Signal::None;
+        }
+        if segment.data_bytes > 0 && segment.sequence == flow.last_sequence {
+            flow.repeats = flow.repeats.saturating_add(1);
+            return Signal::Repeat(flow.repeats);
+        }
+        Signal::None
+    }
+
+    /// Takes out the flows without a packet for `memory_ms`.
+    pub(crate) fn expire(&mut self, memory_ms: u64, now_ms: u64, mut note: impl FnMut(&Flow)) {
+        self.flows.retain(|_, flow| {
+            let keep = flow.last_packet_ms + memory_ms > now_ms;
+            if !keep {
+                note(flow);
+            }
+            keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/tagged/src/health.rs
@@ -0,0 +1,214 @@
+//! Whether a target answers, by what its flows show.
+//!
+//! Load pattern: a target dies or is cut off while many callers have flows to it. Each of them would
+//! wait for its time limit; openings without an answer and flows without progress show it within a
+//! second. A suspected target takes no new flows; its flows are reset only after a check failed and
+//! nothing of it was heard meanwhile.
+
+use catalog::TargetId;
+
+use crate::Config;
+
+/// Openings without an answer in a row that make a target suspect.
+const FAILED_OPENINGS: u32 = 2;
+
+/// Flows without progress that make a target suspect, if none makes progress.
+const STALLED_FLOWS: u32 = 2;
+
+/// What a host thinks of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Good,
+    /// It takes no new flows until it answers something or the suspicion runs out.
+    Suspect,
+    /// It failed a check: its flows are reset.
+    Dead,
+}
+
+/// What a health check showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The target answered.
+    Answered,
+    /// It did not.
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    target: TargetId,
+    standing: Standing,
+    since_ms: u64,
+    progress_at_ms: u64,
+    failed_openings: u32,
+    stalled_flows: u32,
+    is_check_due: bool,
+}
+
+/// What is held of targets, sorted by identity. Targets without a record are good.
+#[derive(Debug, Default)]
+pub struct Health {
+    records: Vec<Record>,
+}
+
+impl Health {
+    /// The standing of `target`.
+    pub fn standing(&self, target: TargetId) -> Standing {
+        self.find(target).map_or(Standing::Good, |record| record.standing)
+    }
+
+    /// The evidence against `target`: openings without an answer and flows without progress.
+    pub fn evidence(&self, target: TargetId) -> (u32, u32) {
+        self.find(target).map_or((0, 0), |record| (record.failed_openings, record.stalled_flows))
+    }
+
+    /// A flow of `target` made progress. Returns whether the standing changed.
+    pub fn on_progress(&mut self, target: TargetId, now_ms: u64) -> bool {
+        let Ok(position) = self.position(target) else { return false };
+        let record = &mut self.records[position];
+        record.progress_at_ms = now_ms;
+        record.failed_openings = 0;
+        record.stalled_flows = 0;
+        record.is_check_due = false;
+        record.change(Standing::Good, now_ms)
+    }
+
+    /// An opening got no answer from `target`. Returns whether the standing changed.
+    pub fn on_failed_opening(&mut self, target: TargetId, now_ms: u64) -> bool {
+        let record = self.record(target, now_ms);
+        record.failed_openings += 1;
+        record.suspect(now_ms)
+    }
+
+    /// A flow of `target` sent its data a second time without an answer. Returns whether the standing changed.
+    pub fn on_stalled_flow(&mut self, target: TargetId, now_ms: u64) -> bool {
+        let record = self.record(target, now_ms);
+        record.stalled_flows += 1;
+        record.suspect(now_ms)
+    }
+
+    /// Another host holds `target` for dead. Returns whether the standing changed.
+    pub fn on_reported_dead(&mut self, target: TargetId, config: &Config, now_ms: u64) -> bool {
+        let record = self.record(target, now_ms);
+        // What this host hears itself goes before what others report.
+        let has_evidence = record.failed_openings + record.stalled_flows > 0;
+        let is_heard = record.progress_at_ms + config.suspicion_ms > now_ms && !has_evidence;
+        if is_heard || record.standing != Standing::Good {
+            return false;
+        }
+        record.change(Standing::Suspect, now_ms)
+    }
+
+    /// A check that was started at `started_at_ms` has ended. Returns whether the standing changed.
+    pub fn on_check(
+        &mut self,
+        target: TargetId,
+        verdict: Verdict,
+        started_at_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let record = self.record(target, now_ms);
+        match verdict {
+            Verdict::Answered => {
+                record.failed_openings = 0;
+                record.stalled_flows = 0;
+                record.change(Standing::Good, now_ms)
+            }
+            Verdict::Failed if record.progress_at_ms >= started_at_ms => false,
+            Verdict::Failed => {
+                let is_news = record.change(Standing::Dead, now_ms);
+                record.since_ms = now_ms;
+                is_news
+            }
+        }
+    }
+
+    /// The targets that are to be checked now.
+    pub fn take_due_checks(&mut self, config: &Config, now_ms: u64) -> Vec<TargetId> {
+        let mut due = Vec::new();
+        for record in &mut self.records {
+            let is_old = now_ms >= record.since_ms + config.dead_ms;
+            if record.standing == Standing::Dead && is_old {
+                record.since_ms = now_ms;
+                record.is_check_due = true;
+            }
+            if std::mem::take(&mut record.is_check_due) {
+                due.push(record.target);
+            }
+        }
+        due
+    }
+
+    /// Ends suspicions that ran out and forgets targets for which `is_known` does not hold. Gives
+    /// the targets that are good again.
+    pub fn expire(
+        &mut self,
+        config: &Config,
+        now_ms: u64,
+        is_known: impl Fn(TargetId) -> bool,
+    ) -> Vec<TargetId> {
+        self.records.retain(|record| is_known(record.target));
+        let mut cleared = Vec::new();
+        for record in &mut self.records {
+            let is_over = now_ms >= record.since_ms + config.suspicion_ms;
+            if record.standing == Standing::Suspect && is_over {
+                record.failed_openings = 0;
+                record.stalled_flows = 0;
+                record.change(Standing::Good, now_ms);
+                cleared.push(record.target);
+            }
+        }
+        cleared
+    }
+
+    fn find(&self, target: TargetId) -> Option<&Record> {
+        self.position(target).ok().map(|position| &self.records[position])
+    }
+
+    fn record(&mut self, target: TargetId, now_ms: u64) -> &mut Record {
+        let position = match self.position(target) {
+            Ok(position) => position,
+            Err(position) => {
+                let record = Record {
+                    target,
+                    standing: Standing::Good,
+                    since_ms: now_ms,
+                    progress_at_ms: 0,
+                    failed_openings: 0,
+                    stalled_flows: 0,
+                    is_check_due: false,
+                };
+                self.records.insert(position, record);
+                position
+            }
+        };
+        &mut self.records[position]
+    }
+
+    fn position(&self, target: TargetId) -> Result<usize, usize> {
+        self.records.binary_search_by_key(&target, |record| record.target)
+    }
+}
+
+impl Record {
+    fn suspect(&mut self, now_ms: u64) -> bool {
+        let is_enough = self.failed_openings >= FAILED_OPENINGS
+            || self.stalled_flows >= STALLED_FLOWS
+            || (self.failed_openings > 0 && self.stalled_flows > 0);
+        if !is_enough || self.standing != Standing::Good {
+            return false;
+        }
+        self.is_check_due = true;
+        self.change(Standing::Suspect, now_ms)
+    }
+
+    fn change(&mut self, standing: Standing, now_ms: u64) -> bool {
+        if self.standing == standing {
+            return false;
+        }
+        self.standing = standing;
+        self.since_ms = now_ms;
+        true
+    }
+}
--- /dev/null
+++ b/crates/tagged/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions about flows whose packets carry a tag that names their target.
+//!
+//! Targets answer callers directly and both ends repeat the tag, so any host can forward any packet
+//! of a flow without having seen the flow before. There are no pins, homes, backups or searches;
+//! `host` has those, for transports that carry no tag. What [`Traffic`] remembers of flows is soft
+//! state that only serves the choice of targets and the detection of dead ones.
+//!
+//! This crate has no sockets, clocks or threads: segments and a steady time go in, verdicts come
+//! out.
+//!
+//! Architecture Invariant: a flow is reset only if its target is gone, proven dead or its listener
+//! was removed, and never on a view that may be out of date.
+
+mod choice;
+mod config;
+mod counters;
+mod event;
+mod flows;
+mod health;
+mod load;
+mod openings;
+mod segment;
+mod traffic;
+mod unknown;
+
+pub use crate::{
+    choice::{Candidate, choose},
+    config::Config,
+    counters::{Counter, Counters},
+    event::{Event, Reason},
+    health::{Health, Standing, Verdict as CheckVerdict},
+    load::{HostLoad, LoadBoard, TargetLoad},
+    segment::{FlowKey, Segment, SegmentKind, Verdict},
+    traffic::{Traffic, View},
+};
--- /dev/null
+++ b/crates/tagged/src/openings.rs
@@ -0,0 +1,60 @@
+//! Openings whose targets have not been acknowledged yet.
+
+use catalog::TargetId;
+use hashbrown::HashMap;
+
+use crate::FlowKey;
+
+/// How many targets an opening may be tried on.
+const TRIES_MAX: usize = 3;
+
+/// One opening.
+#[derive(Debug, Clone)]
+pub(crate) struct Opening {
+    /// The targets that it was sent to, the last one last.
+    pub(crate) tried: Vec<TargetId>,
+    /// When it was last sent to another target.
+    pub(crate) sent_at_ms: u64,
+    opened_at_ms: u64,
+}
+
+/// The openings of the last moments.
+#[derive(Debug, Default)]
+pub(crate) struct OpeningTable {
+    openings: HashMap<FlowKey, Opening>,
+    swept_at_ms: u64,
+}
+
+impl OpeningTable {
+    pub(crate) fn get(&self, key: &FlowKey) -> Option<&Opening> {
+        self.openings.get(key)
+    }
+
+    /// Notes that the opening of `key` is sent to `target`.
+    pub(crate) fn sent(&mut self, key: FlowKey, target: TargetId, now_ms: u64) {
+        let opening = self.openings.entry(key).or_insert_with(|| Opening {
+            tried: Vec::with_capacity(1),
+            sent_at_ms: now_ms,
+            opened_at_ms: now_ms,
+        });
+        opening.sent_at_ms = now_ms;
+        opening.tried.push(target);
+        if opening.tried.len() > TRIES_MAX {
+            opening.tried.remove(0);
+        }
+    }
+
+    /// Takes the opening out, once its flow is open or given up.
+    pub(crate) fn remove(&mut self, key: &FlowKey) -> Option<Opening> {
+        self.openings.remove(key)
+    }
+
+    /// Forgets openings that are older than `memory_ms`.
+    pub(crate) fn sweep(&mut self, memory_ms: u64, now_ms: u64) {
+        if now_ms < self.swept_at_ms + memory_ms {
+            return;
+        }
+        self.swept_at_ms = now_ms;
+        self.openings.retain(|_, opening| opening.opened_at_ms + memory_ms > now_ms);
+    }
+}
--- /dev/null
+++ b/crates/tagged/src/traffic.rs
@@ -0,0 +1,459 @@
+//! What happens to each packet of a caller.
+
+use catalog::{Directory, Listener, Presence, TargetId, TargetIndex};
+use hashbrown::HashMap;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{
+    Candidate, CheckVerdict, Config, Counter, Counters, Event, Health, LoadBoard, Reason, Segment,
+    SegmentKind, Standing, TargetLoad, Verdict, choose,
+    flows::{FlowTable, Signal},
+    openings::OpeningTable,
+    unknown::UnknownTable,
+};
+
+/// The n-th repetition of the same data that counts as a flow without progress. Callers repeat
+/// after 200 ms and then after twice the pause, so the second comes 600 ms after the data.
+const STALLED_REPEATS: u8 = 2;
+
+/// How much a request under way counts beside an open flow: an open flow of the users' boards has a
+/// request under way about a tenth of the time.
+const BUSY_WEIGHT: f64 = 0.5;
+
+/// How much fuller a target counts while it is slow after its start.
+const WARMUP_FACTOR: f64 = 1.6;
+
+/// How many events are kept between two calls of [`Traffic::take_events`].
+const EVENTS_MAX: usize = 256;
+
+/// What a host knows when a packet comes.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// Listeners and targets.
+    pub directory: &'a Directory,
+    /// How long ago they were known to be current, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The state of one host's decisions.
+#[derive(Debug)]
+pub struct Traffic {
+    config: Config,
+    flows: FlowTable,
+    openings: OpeningTable,
+    unknown: UnknownTable,
+    health: Health,
+    others: LoadBoard,
+    own: HashMap<TargetId, OwnLoad>,
+    warm_at_ms: HashMap<TargetId, u64>,
+    counters: Counters,
+    events: Vec<Event>,
+    events_left_out: u64,
+    swept_at_ms: u64,
+    has_load_news: bool,
+    rng: StdRng,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnLoad {
+    flows: u32,
+    busy: u32,
+}
+
+/// How often tables are swept, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
+impl Traffic {
+    /// Creates the state. `seed` makes its choices repeatable.
+    pub fn new(config: Config, seed: u64) -> Traffic {
+        Traffic {
+            config,
+            flows: FlowTable::default(),
+            openings: OpeningTable::default(),
+            unknown: UnknownTable::default(),
+            health: Health::default(),
+            others: LoadBoard::default(),
+            own: HashMap::new(),
+            warm_at_ms: HashMap::new(),
+            counters: Counters::default(),
+            events: Vec::new(),
+            events_left_out: 0,
+            swept_at_ms: 0,
+            has_load_news: false,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// How many flows are remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Where other hosts' reports go.
+    pub fn others(&mut self) -> &mut LoadBoard {
+        &mut self.others
+    }
+
+    /// Takes the events since the last call, and how many did not fit.
+    pub fn take_events(&mut self) -> (Vec<Event>, u64) {
+        (std::mem::take(&mut self.events), std::mem::take(&mut self.events_left_out))
+    }
+
+    /// Decides what to do with a packet.
+    pub fn on_segment(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
+        let verdict = match segment.kind {
+            SegmentKind::Open { copy } => self.on_opening(view, segment, copy, now_ms),
+            _ => self.on_flow(view, segment, now_ms),
+        };
+        match verdict {
+            Verdict::Forward { .. } => self.counters.count(Counter::Forwarded),
+            Verdict::Reset(reason) => self.note_reset(view, segment, reason),
+            Verdict::Hold => self.counters.count(Counter::Held),
+            Verdict::Drop(reason) => self.counters.count_drop(reason),
+        }
+        verdict
+    }
+
+    /// Sweeps the tables now and then.
+    pub fn on_tick(&mut self, view: View<'_>, now_ms: u64) {
+        if now_ms < self.swept_at_ms + SWEEP_MS {
+            return;
+        }
+        self.swept_at_ms = now_ms;
+        let own = &mut self.own;
+        let mut has_expired = false;
+        self.flows.expire(self.config.flow_memory_ms, now_ms, |flow| {
+            has_expired = true;
+            release(own, flow.target, flow.is_busy);
+        });
+        self.has_load_news |= has_expired;
+        self.openings.sweep(self.config.opening_memory_ms, now_ms);
+        self.unknown.sweep(2 * self.config.unknown_ms, now_ms);
+        self.others.expire(self.config.report_ms, now_ms);
+        let directory = view.directory;
+        let cleared = self.health.expire(&self.config, now_ms, |target| {
+            let index = directory.find_target(target);
+            index.is_some_and(|index| directory.presence(index) != Presence::Gone)
+        });
+        for target in cleared {
+            self.note_standing(target);
+        }
+    }
+
+    /// A new view is in force: targets that are slow after their start are noted.
+    pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
+        self.warm_at_ms.retain(|target, _| directory.find_target(*target).is_some());
+        for position in 0..directory.target_count() {
+            let target = directory.target(TargetIndex(position));
+            if target.warmup_ms > 0 {
+                let warm_at_ms = now_ms + u64::from(target.warmup_ms);
+                self.warm_at_ms.entry(target.id).or_insert(warm_at_ms);
+            }
+        }
+    }
+
+    /// The targets that are to be checked now.
+    pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<TargetId> {
+        self.health.take_due_checks(&self.config, now_ms)
+    }
+
+    /// A check that was started at `started_at_ms` has ended.
+    pub fn on_check(
+        &mut self,
+        target: TargetId,
+        verdict: CheckVerdict,
+        started_at_ms: u64,
+        now_ms: u64,
+    ) {
+        if self.health.on_check(target, verdict, started_at_ms, now_ms) {
+            self.has_load_news = true;
+            self.note_standing(target);
+        }
+    }
+
+    /// Another host holds `target` for dead.
+    pub fn on_reported_dead(&mut self, target: TargetId, now_ms: u64) {
+        if self.health.on_reported_dead(target, &self.config, now_ms) {
+            self.note_standing(target);
+        }
+    }
+
+    /// The flows that this host sees, for the others, if they changed since the last call.
+    pub fn take_load_news(&mut self) -> Option<Vec<TargetLoad>> {
+        std::mem::take(&mut self.has_load_news).then(|| self.loads())
+    }
+
+    /// The flows that this host sees, sorted by target.
+    pub fn loads(&self) -> Vec<TargetLoad> {
+        let mut loads: Vec<TargetLoad> = self
+            .own
+            .iter()
+            .map(|(target, own)| TargetLoad {
+                target: *target,
+                flows: own.flows,
+                busy: own.busy,
+                is_dead: self.health.standing(*target) == Standing::Dead,
+            })
+            .collect();
+        loads.sort_unstable_by_key(|load| load.target);
+        loads
+    }
+
+    fn on_opening(
+        &mut self,
+        view: View<'_>,
+        segment: &Segment,
+        copy: u32,
+        now_ms: u64,
+    ) -> Verdict {
+        let Some(listener) = view.directory.find_listener(segment.key.listener) else {
+            return self.refuse(view, Reason::NoListener);
+        };
+        let earlier = self.openings.get(&segment.key);
+        let mut tried: Vec<TargetId> = Vec::new();
+        if let Some(opening) = earlier {
+            let last = opening.tried.last().copied();
+            let is_waiting = now_ms < opening.sent_at_ms + self.config.handshake_ms;
+            // A copy that comes early was delayed on its way or is a duplicate.
+            if is_waiting && let Some(verdict) = last.and_then(|last| forward(view, last)) {
+                return verdict;
+            }
+            tried.extend(&opening.tried);
+            if let Some(last) = last {
+                self.counters.count(Counter::Retried);
+                self.release_flow(segment);
+                if self.health.on_failed_opening(last, now_ms) {
+                    self.counters.count(Counter::Suspected);
+                    self.note_standing(last);
+                }
+            }
+        }
+        let Some(index) = self.place(view, listener, segment, &tried, now_ms) else {
+            return self.refuse(view, Reason::NoTarget);
+        };
+        let target = view.directory.target(index);
+        let Some(tag) = view.directory.tag_for(index) else {
+            return Verdict::Drop(Reason::NoTarget);
+        };
+        self.openings.sent(segment.key, target.id, now_ms);
+        self.add_flow(segment, target.id, now_ms);
+        self.counters.count(Counter::Opened);
+        let flows = self.own.get(&target.id).map_or(0, |own| own.flows);
+        self.note(Event::Opened {
+            key: segment.key,
+            target: target.id,
+            copy,
+            flows,
+            revision: view.directory.revision,
+            view_age_ms: view.age_ms,
+        });
+        Verdict::Forward { target: target.id, address: target.address, tag }
+    }
+
+    fn on_flow(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
+        let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
+        let Some(index) = view.directory.find_tag(tag) else {
+            return self.on_unknown_tag(view, segment, now_ms);
+        };
+        let target = view.directory.target(index);
+        let presence = view.directory.presence(index);
+        self.openings.remove(&segment.key);
+        if presence == Presence::Gone {
+            self.release_flow(segment);
+            return Verdict::Reset(Reason::TargetGone);
+        }
+        if view.directory.find_listener(segment.key.listener).is_none() {
+            self.release_flow(segment);
+            return self.refuse(view, Reason::NoListener);
+        }
+        self.observe(segment, target.id, now_ms);
+        if self.health.standing(target.id) == Standing::Dead
+            && segment.kind != SegmentKind::Abort
+        {
+            self.release_flow(segment);
+            return Verdict::Reset(Reason::TargetDead);
+        }
+        if segment.kind == SegmentKind::Abort {
+            self.release_flow(segment);
+        }
+        Verdict::Forward { target: target.id, address: target.address, tag }
+    }
+
+    /// A target that a current view does not list is gone; one that an older view does not list may
+    /// be new.
+    fn on_unknown_tag(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
+        let first_seen_ms = self.unknown.first_seen_ms(segment.key, now_ms);
+        let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
+        if confirmed_at_ms >= first_seen_ms + self.config.unknown_ms {
+            return Verdict::Reset(Reason::UnknownTag);
+        }
+        Verdict::Drop(Reason::UnknownTag)
+    }
+
+    fn refuse(&self, view: View<'_>, reason: Reason) -> Verdict {
+        if view.age_ms <= self.config.view_age_max_ms {
+            return Verdict::Reset(reason);
+        }
+        Verdict::Drop(Reason::StaleView)
+    }
+
+    fn place(
+        &mut self,
+        view: View<'_>,
+        listener: &Listener,
+        segment: &Segment,
+        tried: &[TargetId],
+        now_ms: u64,
+    ) -> Option<TargetIndex> {
+        let service_seed = self.draw_service(listener)?;
+        let ties = self.rng.random();
+        let mut candidates = self.candidates(view, service_seed, now_ms);
+        let untried: Vec<Candidate> = candidates
+            .iter()
+            .filter(|candidate| !tried.contains(&view.directory.target(candidate.index).id))
+            .copied()
+            .collect();
+        if !untried.is_empty() {
+            candidates = untried;
+        }
+        let _ = segment;
+        choose(&candidates, ties)
+    }
+
+    fn draw_service(&mut self, listener: &Listener) -> Option<u64> {
+        let total: u32 = listener.shares.iter().map(|share| share.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        for share in &listener.shares {
+            if drawn < share.weight {
+                return Some(share.service_seed);
+            }
+            drawn -= share.weight;
+        }
+        None
+    }
+
+    /// The targets that may take a flow; suspected ones only if there is no other.
+    fn candidates(&self, view: View<'_>, service_seed: u64, now_ms: u64) -> Vec<Candidate> {
+        let all: Vec<(Standing, Candidate)> = view
+            .directory
+            .open_targets(service_seed)
+            .map(|index| {
+                let target = view.directory.target(index);
+                let is_near = target.domain_seed == self.config.domain_seed;
+                let load = self.load(target.id, target.slots, now_ms);
+                (self.health.standing(target.id), Candidate { index, is_near, load })
+            })
+            .collect();
+        let best = all.iter().map(|entry| entry.0 as u8).min().unwrap_or(0);
+        all.iter().filter(|entry| entry.0 as u8 == best).map(|entry| entry.1).collect()
+    }
+
+    /// The flows for each slot of `target`, as all hosts see them.
+    fn load(&self, target: TargetId, slots: u16, now_ms: u64) -> f64 {
+        let own = self.own.get(&target).copied().unwrap_or_default();
+        let others = self.others.get(target);
+        let flows = f64::from(own.flows + others.flows);
+        let busy = f64::from(own.busy + others.busy);
+        let is_cold = self.warm_at_ms.get(&target).is_some_and(|warm_at_ms| now_ms < *warm_at_ms);
+        let factor = if is_cold { WARMUP_FACTOR } else { 1.0 };
+        factor * (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
+    }
+
+    fn observe(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
+        let known = self.flows.get(&segment.key).copied();
+        if known.is_none_or(|flow| flow.target != target) {
+            self.release_flow(segment);
+            self.add_flow(segment, target, now_ms);
+            return;
+        }
+        let was_busy = known.is_some_and(|flow| flow.is_busy);
+        let signal = self.flows.update(segment, now_ms);
+        let is_busy = self.flows.get(&segment.key).is_some_and(|flow| flow.is_busy);
+        let own = self.own.entry(target).or_default();
+        own.busy = own.busy + u32::from(is_busy) - u32::from(was_busy).min(own.busy + u32::from(is_busy));
+        let has_changed = match signal {
+            Signal::None => false,
+            Signal::Progress => self.health.on_progress(target, now_ms),
+            Signal::Repeat(STALLED_REPEATS) => self.health.on_stalled_flow(target, now_ms),
+            Signal::Repeat(_) => false,
+        };
+        if has_changed {
+            if self.health.standing(target) == Standing::Suspect {
+                self.counters.count(Counter::Suspected);
+            }
+            self.note_standing(target);
+        }
+    }
+
+    fn add_flow(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
+        if self.flows.len() >= self.config.flows_max || segment.kind == SegmentKind::Abort {
+            return;
+        }
+        self.flows.add(segment, target, now_ms);
+        let own = self.own.entry(target).or_default();
+        own.flows += 1;
+        own.busy += u32::from(segment.data_bytes > 0);
+        self.has_load_news = true;
+    }
+
+    fn release_flow(&mut self, segment: &Segment) {
+        if let Some(flow) = self.flows.remove(&segment.key) {
+            release(&mut self.own, flow.target, flow.is_busy);
+            self.has_load_news = true;
+        }
+    }
+
+    fn note_reset(&mut self, view: View<'_>, segment: &Segment, reason: Reason) {
+        self.counters.count_reset(reason);
+        let target = segment.tag.and_then(|tag| view.directory.find_tag(tag));
+        self.note(Event::Reset {
+            key: segment.key,
+            target: target.map(|index| view.directory.target(index).id),
+            reason,
+            revision: view.directory.revision,
+            view_age_ms: view.age_ms,
+        });
+    }
+
+    fn note_standing(&mut self, target: TargetId) {
+        let standing = self.health.standing(target);
+        if standing == Standing::Dead {
+            self.counters.count(Counter::Dead);
+        }
+        let (failed_openings, stalled_flows) = self.health.evidence(target);
+        self.note(Event::Standing { target, standing, failed_openings, stalled_flows });
+    }
+
+    fn note(&mut self, event: Event) {
+        if self.events.len() < EVENTS_MAX {
+            self.events.push(event);
+        } else {
+            self.events_left_out += 1;
+        }
+    }
+}
+
+fn release(own: &mut HashMap<TargetId, OwnLoad>, target: TargetId, is_busy: bool) {
+    let Some(load) = own.get_mut(&target) else { return };
+    load.flows = load.flows.saturating_sub(1);
+    load.busy = load.busy.saturating_sub(u32::from(is_busy));
+    if load.flows == 0 {
+        own.remove(&target);
+    }
+}
+
+fn forward(view: View<'_>, target: TargetId) -> Option<Verdict> {
+    let index = view.directory.find_target(target)?;
+    let tag = view.directory.tag_for(index)?;
+    let address = view.directory.target(index).address;
+    (view.directory.presence(index) != Presence::Gone)
+        .then_some(Verdict::Forward { target, address, tag })
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -32,11 +32,29 @@
     MembersChanged = 1201,
     /// A packet could not be sent.
     SendFailed = 1301,
+    /// The settings file is read again.
+    Reloaded = 1106,
+    /// Listeners and targets of a new revision are in force.
+    CatalogInForce = 1107,
+    /// An entry of the store or a message cannot be used.
+    EntryRejected = 1108,
+    /// The host began or ended to read the store.
+    RoleChanged = 1202,
+    /// A new flow got its target.
+    FlowOpened = 1401,
+    /// A flow was reset.
+    FlowReset = 1402,
+    /// A target's standing changed.
+    TargetStanding = 1403,
+    /// A target was asked for its health.
+    TargetChecked = 1404,
+    /// Decisions were not logged.
+    DecisionsLeftOut = 1405,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 13] = [
+    pub const ALL: [Event; 22] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -48,8 +66,17 @@
         Event::StoreBehind,
         Event::StoreUnavailable,
         Event::StoreAvailable,
+        Event::Reloaded,
+        Event::CatalogInForce,
+        Event::EntryRejected,
         Event::MembersChanged,
+        Event::RoleChanged,
         Event::SendFailed,
+        Event::FlowOpened,
+        Event::FlowReset,
+        Event::TargetStanding,
+        Event::TargetChecked,
+        Event::DecisionsLeftOut,
     ];
 
     /// The stable number.
@@ -73,6 +100,15 @@
             Event::StoreAvailable => "store_available",
             Event::MembersChanged => "members_changed",
             Event::SendFailed => "send_failed",
+            Event::Reloaded => "reloaded",
+            Event::CatalogInForce => "catalog_in_force",
+            Event::EntryRejected => "entry_rejected",
+            Event::RoleChanged => "role_changed",
+            Event::FlowOpened => "flow_opened",
+            Event::FlowReset => "flow_reset",
+            Event::TargetStanding => "target_standing",
+            Event::TargetChecked => "target_checked",
+            Event::DecisionsLeftOut => "decisions_left_out",
         }
     }
 
@@ -80,9 +116,11 @@
     pub fn level(self) -> Level {
         match self {
             Event::SettingsRejected => Level::Error,
-            Event::Frozen | Event::StoreBehind | Event::StoreUnavailable | Event::SendFailed => {
-                Level::Warn
-            }
+            Event::Frozen
+            | Event::StoreBehind
+            | Event::StoreUnavailable
+            | Event::EntryRejected
+            | Event::SendFailed => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -39,7 +39,7 @@
 static LIMITS: Mutex<[Limit; Event::ALL.len()]> =
     Mutex::new([Limit { second: 0, lines: 0, suppressed: 0 }; Event::ALL.len()]);
 
-/// Starts logging to standard error, each line tagged with the host's name.
+/// Starts logging to standard output, each line tagged with the host's name.
 ///
 /// # Errors
 ///
@@ -60,7 +60,7 @@
                 "{{\"host\":\"{host}\",\"level\":\"{level}\",\"message\":{text}}}"
             ));
         })
-        .chain(io::stderr())
+        .chain(io::stdout())
         .apply()
         .wrap_err("logging was started before")
 }
--- a/crates/wagtailstalld/src/local_settings.rs
+++ b/crates/wagtailstalld/src/local_settings.rs
@@ -73,15 +73,6 @@
     }
 
     fn key(&self) -> Result<PeerKey> {
-        let digits = self.peer_key.as_bytes();
-        if digits.len() != 32 {
-            bail!("the key has {} characters, not 32 hexadecimal digits", digits.len());
-        }
-        let mut key = [0; 16];
-        for (byte, pair) in key.iter_mut().zip(digits.chunks_exact(2)) {
-            let text = std::str::from_utf8(pair).wrap_err("the key is not hexadecimal")?;
-            *byte = u8::from_str_radix(text, 16).wrap_err("the key is not hexadecimal")?;
-        }
-        Ok(PeerKey(key))
+        Ok(PeerKey::parse(&self.peer_key)?)
     }
 }
--- a/crates/wagtailstalld/src/main.rs
+++ b/crates/wagtailstalld/src/main.rs
@@ -13,10 +13,11 @@
 mod store_task;
 mod traffic_thread;
 
-use std::{path::PathBuf, process::ExitCode, thread};
+use std::{path::PathBuf, process::ExitCode, str::FromStr, thread};
 
 use argh::FromArgs;
-use eyre::{Result, WrapErr, eyre};
+use edge::EdgeSettings;
+use eyre::{WrapErr, eyre};
 use log::LevelFilter;
 
 use crate::{local_settings::LocalSettings, shared::Shared};
@@ -37,11 +38,34 @@
     /// only check the file and print what is in it
     #[argh(switch)]
     check: bool,
+    /// what carries a flow's target: pinned (the hosts remember it) or tagged (the packets name it,
+    /// on the users' platform)
+    #[argh(option, default = "Affinity::Pinned")]
+    affinity: Affinity,
     /// how much to log: error, warn, info, debug or trace
     #[argh(option, default = "LevelFilter::Info")]
     log_level: LevelFilter,
 }
 
+/// What carries a flow's target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Affinity {
+    Pinned,
+    Tagged,
+}
+
+impl FromStr for Affinity {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Affinity, String> {
+        match text {
+            "pinned" => Ok(Affinity::Pinned),
+            "tagged" => Ok(Affinity::Tagged),
+            other => Err(format!("'{other}' is neither pinned nor tagged")),
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     match run(&arguments) {
@@ -53,7 +77,24 @@
     }
 }
 
-fn run(arguments: &Arguments) -> Result<()> {
+fn run(arguments: &Arguments) -> eyre::Result<()> {
+    match arguments.affinity {
+        Affinity::Pinned => run_pinned(arguments),
+        Affinity::Tagged => run_tagged(arguments),
+    }
+}
+
+fn run_tagged(arguments: &Arguments) -> eyre::Result<()> {
+    let settings = EdgeSettings::read(&arguments.settings)?;
+    if arguments.check {
+        println!("{settings:#?}");
+        return Ok(());
+    }
+    telemetry::init(&settings.host, arguments.log_level)?;
+    edge::run::<platform::Platform>(&arguments.settings, settings)
+}
+
+fn run_pinned(arguments: &Arguments) -> eyre::Result<()> {
     let settings = LocalSettings::read(&arguments.settings)?;
     if arguments.check {
         println!("{settings:#?}");
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -63,6 +63,79 @@
   loads       @1 :List(Load);
 }
 
+# What a host holds of the catalog of listeners and targets.
+struct Heartbeat {
+  # The reader whose tree the heartbeat goes down, or 0.
+  root     @0 :UInt64;
+  revision @1 :UInt64;
+  digest   @2 :UInt64;
+  ageMs    @3 :UInt64;
+}
+
+# Asks for rows of the catalog.
+struct Pull {
+  revision @0 :UInt64;
+  digest   @1 :UInt64;
+  # Every row in place of those that changed after the revision.
+  all      @2 :Bool;
+}
+
+struct Share {
+  serviceSeed @0 :UInt64;
+  weight      @1 :UInt32;
+}
+
+# One row of the catalog.
+struct Row {
+  revision @0 :UInt64;
+  presence @1 :UInt8;
+  union {
+    idleTimeoutMs @2 :UInt32;
+    listener :group {
+      ip        @3 :UInt32;
+      port      @4 :UInt16;
+      shares    @5 :List(Share);
+      kind      @6 :UInt8;
+      priority  @7 :UInt8;
+      aimMs     @8 :UInt32;
+      timeoutMs @9 :UInt32;
+    }
+    service :group {
+      seed       @10 :UInt64;
+      healthPath @11 :Text;
+      flowsMax   @12 :UInt32;
+    }
+    target :group {
+      id          @13 :UInt64;
+      serviceSeed @14 :UInt64;
+      ip          @15 :UInt32;
+      port        @16 :UInt16;
+      domainSeed  @17 :UInt64;
+      slots       @18 :UInt16;
+      isDraining  @19 :Bool;
+      warmupMs    @20 :UInt32;
+      startedAtMs @21 :UInt64;
+    }
+  }
+}
+
+struct RowBatch {
+  heartbeat @0 :Heartbeat;
+  after     @1 :UInt64;
+  all       @2 :Bool;
+  part      @3 :UInt32;
+  parts     @4 :UInt32;
+  rows      @5 :List(Row);
+}
+
+# The flows of one target that the sender sees.
+struct TargetLoad {
+  target @0 :UInt64;
+  flows  @1 :UInt32;
+  busy   @2 :UInt32;
+  isDead @3 :Bool;
+}
+
 struct Control {
   union {
     probe        @0 :Probe;
@@ -72,6 +145,10 @@
     report       @4 :Report;
     # A new settings revision; the receiver fetches it from the sender.
     revision     @5 :UInt64;
+    heartbeat    @6 :Heartbeat;
+    pull         @7 :Pull;
+    rows         @8 :RowBatch;
+    loads        @9 :List(TargetLoad);
   }
 }
 
--- /dev/null
+++ b/crates/wire/src/catalog_rows.rs
@@ -0,0 +1,182 @@
+//! The encoding of messages about the catalog.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use catalog::{
+    Digest, Kind, Limits, Listener, Presence, Record, Row, Service, Share, Stage, Target, TargetId,
+};
+use relay::{Heartbeat, Message, Pull, RowBatch, Scope};
+use routing::HostId;
+
+use crate::{
+    control::DecodeError,
+    peer_capnp::{control, heartbeat, pull, row, row_batch, share},
+};
+
+pub(crate) fn encode(root: control::Builder<'_>, message: &Message) {
+    match message {
+        Message::Heartbeat(heartbeat) => encode_heartbeat(root.init_heartbeat(), heartbeat),
+        Message::Pull(pull) => {
+            let mut out = root.init_pull();
+            out.set_revision(pull.revision);
+            out.set_digest(pull.digest.0);
+            out.set_all(pull.scope == Scope::All);
+        }
+        Message::Rows(batch) => encode_batch(root.init_rows(), batch),
+    }
+}
+
+pub(crate) fn decode_heartbeat(heartbeat: heartbeat::Reader<'_>) -> Heartbeat {
+    Heartbeat {
+        root: HostId(heartbeat.get_root()),
+        revision: heartbeat.get_revision(),
+        digest: Digest(heartbeat.get_digest()),
+        age_ms: heartbeat.get_age_ms(),
+    }
+}
+
+pub(crate) fn decode_pull(pull: pull::Reader<'_>) -> Pull {
+    Pull {
+        revision: pull.get_revision(),
+        digest: Digest(pull.get_digest()),
+        scope: scope(pull.get_all()),
+    }
+}
+
+pub(crate) fn decode_batch(batch: row_batch::Reader<'_>) -> Result<RowBatch, DecodeError> {
+    let rows: Result<Vec<Row>, DecodeError> = batch.get_rows()?.iter().map(decode_row).collect();
+    Ok(RowBatch {
+        heartbeat: decode_heartbeat(batch.get_heartbeat()?),
+        scope: scope(batch.get_all()),
+        after: batch.get_after(),
+        part: batch.get_part(),
+        parts: batch.get_parts(),
+        rows: rows?,
+    })
+}
+
+fn scope(all: bool) -> Scope {
+    if all { Scope::All } else { Scope::Changes }
+}
+
+fn encode_heartbeat(mut out: heartbeat::Builder<'_>, heartbeat: &Heartbeat) {
+    out.set_root(heartbeat.root.0);
+    out.set_revision(heartbeat.revision);
+    out.set_digest(heartbeat.digest.0);
+    out.set_age_ms(heartbeat.age_ms);
+}
+
+fn encode_batch(mut out: row_batch::Builder<'_>, batch: &RowBatch) {
+    encode_heartbeat(out.reborrow().init_heartbeat(), &batch.heartbeat);
+    out.set_after(batch.after);
+    out.set_all(batch.scope == Scope::All);
+    out.set_part(batch.part);
+    out.set_parts(batch.parts);
+    let mut list = out.init_rows(batch.rows.len() as u32);
+    for (index, row) in batch.rows.iter().enumerate() {
+        encode_row(list.reborrow().get(index as u32), row);
+    }
+}
+
+fn encode_row(mut out: row::Builder<'_>, row: &Row) {
+    out.set_revision(row.revision);
+    out.set_presence(row.presence as u8);
+    match &row.record {
+        Record::Limits(limits) => out.set_idle_timeout_ms(limits.idle_timeout_ms),
+        Record::Listener(listener) => encode_listener(out.init_listener(), listener),
+        Record::Service(service) => {
+            let mut out = out.init_service();
+            out.set_seed(service.seed);
+            out.set_health_path(&service.health_path);
+            out.set_flows_max(service.flows_max);
+        }
+        Record::Target(target) => {
+            let mut out = out.init_target();
+            out.set_id(target.id.0);
+            out.set_service_seed(target.service_seed);
+            out.set_ip(target.address.ip().to_bits());
+            out.set_port(target.address.port());
+            out.set_domain_seed(target.domain_seed);
+            out.set_slots(target.slots);
+            out.set_is_draining(target.stage == Stage::Draining);
+            out.set_warmup_ms(target.warmup_ms);
+            out.set_started_at_ms(target.started_at_ms);
+        }
+    }
+}
+
+fn encode_listener(mut out: row::listener::Builder<'_>, listener: &Listener) {
+    out.set_ip(listener.address.ip().to_bits());
+    out.set_port(listener.address.port());
+    out.set_kind(match listener.kind {
+        Kind::Idempotent => 0,
+        Kind::Unsafe => 1,
+        Kind::Download => 2,
+    });
+    out.set_priority(listener.priority);
+    out.set_aim_ms(listener.aim_ms);
+    out.set_timeout_ms(listener.timeout_ms);
+    let mut shares = out.init_shares(listener.shares.len() as u32);
+    for (index, share) in listener.shares.iter().enumerate() {
+        let mut out = shares.reborrow().get(index as u32);
+        out.set_service_seed(share.service_seed);
+        out.set_weight(share.weight);
+    }
+}
+
+fn decode_row(row: row::Reader<'_>) -> Result<Row, DecodeError> {
+    let presence = match row.get_presence() {
+        0 => Presence::Listed,
+        1 => Presence::Lapsed,
+        2 => Presence::Gone,
+        other => return Err(DecodeError(format!("presence {other}"))),
+    };
+    let record = match row.which().map_err(capnp::Error::from)? {
+        row::IdleTimeoutMs(idle_timeout_ms) => Record::Limits(Limits { idle_timeout_ms }),
+        row::Listener(listener) => Record::Listener(decode_listener(listener)?),
+        row::Service(service) => Record::Service(Service {
+            seed: service.get_seed(),
+            health_path: service
+                .get_health_path()?
+                .to_string()
+                .map_err(|error| DecodeError(format!("health path: {error}")))?,
+            flows_max: service.get_flows_max(),
+        }),
+        row::Target(target) => Record::Target(Target {
+            id: TargetId(target.get_id()),
+            service_seed: target.get_service_seed(),
+            address: address(target.get_ip(), target.get_port()),
+            domain_seed: target.get_domain_seed(),
+            slots: target.get_slots(),
+            stage: if target.get_is_draining() { Stage::Draining } else { Stage::Ready },
+            warmup_ms: target.get_warmup_ms(),
+            started_at_ms: target.get_started_at_ms(),
+        }),
+    };
+    Ok(Row { revision: row.get_revision(), presence, record })
+}
+
+fn decode_listener(listener: row::listener::Reader<'_>) -> Result<Listener, DecodeError> {
+    let kind = match listener.get_kind() {
+        0 => Kind::Idempotent,
+        1 => Kind::Unsafe,
+        2 => Kind::Download,
+        other => return Err(DecodeError(format!("listener kind {other}"))),
+    };
+    let decode_share = |share: share::Reader<'_>| Share {
+        service_seed: share.get_service_seed(),
+        weight: share.get_weight(),
+    };
+    Ok(Listener {
+        address: address(listener.get_ip(), listener.get_port()),
+        shares: listener.get_shares()?.iter().map(decode_share).collect(),
+        kind,
+        priority: listener.get_priority(),
+        aim_ms: listener.get_aim_ms(),
+        timeout_ms: listener.get_timeout_ms(),
+    })
+}
+
+fn address(ip: u32, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(ip), port)
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -14,6 +14,7 @@
 use routing::{HostId, PinState};
 
 use crate::{
+    catalog_rows,
     frame::{from_ipv6, to_ipv6},
     peer_capnp::{control, load, member, pin, probe},
 };
@@ -44,6 +45,10 @@
     Report(Report),
     /// The sender runs this settings revision.
     Revision(u64),
+    /// A message about the catalog.
+    Relay(relay::Message),
+    /// The flows that the sender sees.
+    Loads(Vec<tagged::TargetLoad>),
 }
 
 /// A pin as it travels between hosts.
@@ -85,7 +90,7 @@
 
 /// Why a control message cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DecodeError(String);
+pub struct DecodeError(pub(crate) String);
 
 impl fmt::Display for DecodeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -128,6 +133,17 @@
             }
         }
         Control::Revision(revision) => root.set_revision(*revision),
+        Control::Relay(message) => catalog_rows::encode(root, message),
+        Control::Loads(loads) => {
+            let mut list = root.init_loads(loads.len() as u32);
+            for (index, load) in loads.iter().enumerate() {
+                let mut out = list.reborrow().get(index as u32);
+                out.set_target(load.target.0);
+                out.set_flows(load.flows);
+                out.set_busy(load.busy);
+                out.set_is_dead(load.is_dead);
+            }
+        }
     }
     serialize::write_message_to_words(&builder)
 }
@@ -159,6 +175,26 @@
             Ok(Control::Report(Report { service_seed: report.get_service_seed(), loads }))
         }
         control::Revision(revision) => Ok(Control::Revision(revision)),
+        control::Heartbeat(heartbeat) => Ok(Control::Relay(relay::Message::Heartbeat(
+            catalog_rows::decode_heartbeat(heartbeat?),
+        ))),
+        control::Pull(pull) => {
+            Ok(Control::Relay(relay::Message::Pull(catalog_rows::decode_pull(pull?))))
+        }
+        control::Rows(batch) => {
+            Ok(Control::Relay(relay::Message::Rows(catalog_rows::decode_batch(batch?)?)))
+        }
+        control::Loads(loads) => Ok(Control::Loads(
+            loads?
+                .iter()
+                .map(|load| tagged::TargetLoad {
+                    target: catalog::TargetId(load.get_target()),
+                    flows: load.get_flows(),
+                    busy: load.get_busy(),
+                    is_dead: load.get_is_dead(),
+                })
+                .collect(),
+        )),
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,6 +5,7 @@
 //! control message follows.
 
 use std::{
+    fmt,
     hash::Hasher,
     net::{IpAddr, Ipv6Addr},
 };
@@ -23,7 +24,35 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerKey(pub [u8; 16]);
 
+/// Why a text is no key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyFault(String);
+
+impl fmt::Display for KeyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for KeyFault {}
+
 impl PeerKey {
+    /// Reads a key of 32 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// Says what else the text is.
+    pub fn parse(text: &str) -> Result<PeerKey, KeyFault> {
+        let length = text.chars().count();
+        if length != 32 {
+            let cause = format!("the key has {length} characters, not 32 hexadecimal digits");
+            return Err(KeyFault(cause));
+        }
+        let key = u128::from_str_radix(text, 16)
+            .map_err(|_| KeyFault("the key is not hexadecimal".to_owned()))?;
+        Ok(PeerKey(key.to_be_bytes()))
+    }
+
     /// The authentication tag of `parts` in this order.
     pub fn tag(&self, parts: &[&[u8]]) -> u64 {
         let mut hasher = SipHasher24::new_with_key(&self.0);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! Architecture Invariant: every datagram of the peer port passes [`Frame::open`] first; what does
 //! not carry the shared key's tag is never decoded.
 
+mod catalog_rows;
 mod control;
 mod frame;
 #[allow(missing_docs, clippy::all, unused_parens, dead_code, unsafe_code)]
@@ -14,5 +15,5 @@
 
 pub use crate::{
     control::{Control, DecodeError, FlowLoad, PinRecord, Report, decode, encode},
-    frame::{FRAME_HEADER_BYTES, Frame, FrameKind, PeerKey},
+    frame::{FRAME_HEADER_BYTES, Frame, FrameKind, KeyFault, PeerKey},
 };
