Take settings that a reading does not list for gone at once

Cause: after an outage of the store absences are provisional for 2.5 s; a listing in that time marked removed listeners as lapsed, and lapsed rows are in force. Ruled out: a late push of an older revision; the host's own listing had the higher revision. Test removed_settings fails without the change.

Also: a reader's reading is the heartbeat (age of the view below 1.9 s, before up to 2.4 s), a host that starts reads the store after 10 ms in place of 60 to 160 ms, loads go to the own failure domain five times a second and to others once, probes once a second, a target counts as dead only if two connections in a row are not accepted.

--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -1,6 +1,6 @@
 //! The mergeable table of rows.
 
-use crate::{Key, Presence, Row};
+use crate::{Key, Presence, Record, Row};
 
 /// Tells whether two hosts hold the same rows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -71,28 +71,29 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Changes the presence of the rows for which `is_absent` holds, as of `revision`, and gives
+    /// Notes that the rows for which `is_absent` holds are not listed as of `revision`, and gives
     /// the changed rows.
     ///
-    /// Rows that changed after `revision` are left alone.
+    /// Only targets can lapse: they announce themselves again and again, while settings are written
+    /// once. Rows that changed after `revision` are left alone.
     pub fn mark_absent(
         &mut self,
         revision: u64,
         listing: Listing,
         is_absent: impl Fn(&Row) -> bool,
     ) -> Vec<Row> {
-        let presence = match listing {
-            Listing::Conclusive => Presence::Gone,
-            Listing::Provisional => Presence::Lapsed,
-        };
-        let absent: Vec<Row> = self
-            .rows
-            .iter()
-            .filter(|row| row.presence < presence && row.revision <= revision && is_absent(row))
-            .cloned()
-            .collect();
-        let changed = absent.into_iter().map(|row| Row { revision, presence, ..row });
-        changed.filter(|row| self.merge(row.clone())).collect()
+        let mut absent = Vec::new();
+        for row in self.rows.iter().filter(|row| row.revision <= revision) {
+            let presence = match (listing, &row.record) {
+                (Listing::Provisional, Record::Target(_)) => Presence::Lapsed,
+                _ => Presence::Gone,
+            };
+            if row.presence < presence && is_absent(row) {
+                absent.push(Row { revision, presence, ..row.clone() });
+            }
+        }
+        absent.retain(|row| self.merge(row.clone()));
+        absent
     }
 
     /// Forgets the rows for which `is_old` holds.
--- /dev/null
+++ b/crates/catalog/tests/rows.rs
@@ -0,0 +1,117 @@
+//! How rows are merged.
+
+use std::net::SocketAddrV4;
+
+use catalog::{
+    Catalog, Directory, Kind, Listener, Listing, Presence, Record, Row, Share, Stage, Target,
+    TargetId,
+};
+use proptest::prelude::*;
+
+fn target(id: u64, port: u16) -> Record {
+    Record::Target(Target {
+        id: TargetId(id),
+        service_seed: 1,
+        address: SocketAddrV4::new([10, 0, 0, 1].into(), port),
+        domain_seed: 1,
+        slots: 3,
+        stage: Stage::Ready,
+        warmup_ms: 0,
+        started_at_ms: 0,
+    })
+}
+
+fn listener(port: u16) -> Record {
+    Record::Listener(Listener {
+        address: SocketAddrV4::new([198, 18, 0, 1].into(), port),
+        shares: vec![Share { service_seed: 1, weight: 1 }],
+        kind: Kind::Idempotent,
+        priority: 1,
+        aim_ms: 250,
+        timeout_ms: 1_500,
+    })
+}
+
+fn listed(revision: u64, record: Record) -> Row {
+    Row { revision, presence: Presence::Listed, record }
+}
+
+fn catalog(rows: &[Row]) -> Catalog {
+    let mut catalog = Catalog::default();
+    for row in rows {
+        catalog.merge(row.clone());
+    }
+    catalog
+}
+
+#[test]
+fn removed_settings() {
+    let mut catalog = catalog(&[listed(1, listener(80)), listed(2, target(7, 8_000))]);
+    let changed = catalog.mark_absent(3, Listing::Provisional, |_| true);
+    let presences: Vec<Presence> = changed.iter().map(|row| row.presence).collect();
+    // A store that was away may have lost announcements for a while, never settings.
+    assert_eq!(presences, [Presence::Gone, Presence::Lapsed]);
+    assert!(Directory::new(&catalog).listeners().is_empty());
+}
+
+#[test]
+fn lapsed_then_gone() {
+    let mut catalog = catalog(&[listed(2, target(7, 8_000))]);
+    catalog.mark_absent(3, Listing::Provisional, |_| true);
+    assert_eq!(Directory::new(&catalog).open_targets(1).count(), 1);
+    catalog.mark_absent(3, Listing::Conclusive, |row| row.presence == Presence::Lapsed);
+    assert_eq!(Directory::new(&catalog).open_targets(1).count(), 0);
+}
+
+#[test]
+fn repeated_content() {
+    let mut catalog = catalog(&[listed(2, target(7, 8_000))]);
+    let digest = catalog.digest();
+    assert!(!catalog.merge(listed(5, target(7, 8_000))), "nothing new was said");
+    assert_eq!(catalog.digest(), digest);
+    let late = Row { presence: Presence::Gone, ..listed(4, target(7, 8_000)) };
+    assert!(!catalog.merge(late), "it was listed again after that");
+}
+
+fn any_row() -> impl Strategy<Value = Row> {
+    let record = prop_oneof![
+        (0..4u64, 0..2u16).prop_map(|(id, port)| target(id, port)),
+        (0..4u16).prop_map(listener),
+    ];
+    (1..8u64, 0..3u8, record).prop_map(|(revision, presence, record)| {
+        let presence = match presence {
+            0 => Presence::Listed,
+            1 => Presence::Lapsed,
+            _ => Presence::Gone,
+        };
+        Row { revision, presence, record }
+    })
+}
+
+proptest! {
+    #[test]
+    fn never_older(rows in prop::collection::vec(any_row(), 0..20)) {
+        let mut merged = Catalog::default();
+        for row in &rows {
+            let before = merged.get(row.record.key()).cloned();
+            merged.merge(row.clone());
+            let after = merged.get(row.record.key()).cloned();
+            if let (Some(before), Some(after)) = (before, after) {
+                prop_assert!((after.revision, after.presence) >= (before.revision, before.presence));
+            }
+        }
+    }
+
+    #[test]
+    fn same_digest(rows in prop::collection::vec(any_row(), 0..20)) {
+        // One revision of one key has one content.
+        let mut unique = rows;
+        unique.sort_by_key(|row| (row.record.key(), row.revision, row.presence));
+        unique.dedup_by_key(|row| (row.record.key(), row.revision));
+        let forward = catalog(&unique);
+        unique.reverse();
+        let backward = catalog(&unique);
+        prop_assert_eq!(forward.digest(), backward.digest());
+        prop_assert_eq!(forward.rows(), backward.rows());
+    }
+}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -4,7 +4,7 @@
 
 use catalog::{Key, Record, Row};
 use membership::{Member, MemberState, Membership};
-use relay::{Absent, Changes, Peer, Recovery, Relay};
+use relay::{Changes, Peer, Recovery, Relay};
 use routing::HostId;
 use store::{Change, ChangeList, Item, Listing, StoreError};
 use telemetry::{Event, field};
@@ -12,9 +12,15 @@
 
 use crate::{Platform, Source, replay::ReplayGuard, shared::Shared};
 
-/// Up to how many hosts a host tells its loads to hosts of every failure domain; above, only to
-/// those of its own, since the messages grow with the square of the hosts.
-const LOADS_TO_ALL_MAX: usize = 40;
+/// How long a host waits between two reports of its loads to its failure domain, for each host of
+/// the domain, in milliseconds: the messages that a host receives stay below 40 a second.
+const LOADS_STEP_MS: u64 = 25;
+
+/// How long it waits at least, in milliseconds.
+const LOADS_MIN_MS: u64 = 200;
+
+/// Every how many reports go to the hosts of other failure domains as well.
+const LOADS_ABROAD_EVERY: u32 = 5;
 
 /// Messages to other hosts.
 pub(crate) type Mail = Vec<(SocketAddr, Message)>;
@@ -28,6 +34,8 @@
     members_version: u64,
     /// When the store was last seen to refuse, for its log lines.
     is_store_well: bool,
+    loads_sent_at_ms: u64,
+    load_reports: u32,
 }
 
 impl Core {
@@ -41,7 +49,15 @@
             state: MemberState::Ready,
         };
         let seed = shared.me.0 ^ shared.incarnation;
-        let mut membership = Membership::new(membership::Config::default(), me, seed);
+        // Only the choice of readers depends on who is alive, and a silent reader is replaced by
+        // the age of the catalog, so probes may be slow.
+        let pace = membership::Config {
+            probe_interval_ms: 1_000,
+            ack_timeout_ms: 300,
+            suspicion_ms: 2_000,
+            ..membership::Config::default()
+        };
+        let mut membership = Membership::new(pace, me, seed);
         membership.set_seeds(&shared.settings.seeds());
         let config = relay::Config::default();
         Core {
@@ -51,6 +67,8 @@
             guard: ReplayGuard::default(),
             members_version: 0,
             is_store_well: true,
+            loads_sent_at_ms: 0,
+            load_reports: 0,
         }
     }
 
@@ -118,17 +136,28 @@
         self.membership.broadcast(4, revision).into_iter().map(probe_mail).collect()
     }
 
-    /// Who hears of this host's loads.
-    pub(crate) fn load_receivers(&self, shared: &Shared) -> Vec<SocketAddr> {
-        let peers: Vec<&Member> = self.peers().collect();
-        let is_small = peers.len() <= LOADS_TO_ALL_MAX;
-        peers
-            .iter()
-            .filter(|peer| is_small || peer.domain_seed == shared.domain_seed)
+    /// Who hears of this host's loads now; nobody if the last report was a moment ago.
+    pub(crate) fn take_load_receivers(&mut self, shared: &Shared, now_ms: u64) -> Vec<SocketAddr> {
+        let near = self.peers().filter(|peer| peer.domain_seed == shared.domain_seed).count();
+        let step_ms = (near as u64 * LOADS_STEP_MS).max(LOADS_MIN_MS);
+        if now_ms < self.loads_sent_at_ms + step_ms {
+            return Vec::new();
+        }
+        self.loads_sent_at_ms = now_ms;
+        self.load_reports += 1;
+        let is_abroad = self.load_reports.is_multiple_of(LOADS_ABROAD_EVERY);
+        self.peers()
+            .filter(|peer| is_abroad || peer.domain_seed == shared.domain_seed)
             .map(|peer| peer.address)
             .collect()
     }
 
+    /// Whether `host` is in this host's failure domain.
+    pub(crate) fn is_near(&self, host: HostId) -> bool {
+        let table = self.membership.table();
+        table.get(host).is_some_and(|member| member.domain_seed == self.membership.me().domain_seed)
+    }
+
     /// Every item of the store was listed.
     pub(crate) fn on_listing<P: Platform>(
         &mut self,
@@ -137,16 +166,42 @@
         now_ms: u64,
     ) -> Mail {
         self.on_answer(now_ms);
+        let listed = decode_all::<P>(listing.items.iter());
+        let mut removed = self.unlisted_targets::<P>(&listing);
+        for item in &listing.items {
+            if P::source(&item.key) == Source::Settings {
+                removed.extend(self.replaced_settings(item, &listed));
+            }
+        }
         let changes = Changes {
             revision: listing.revision,
-            listed: decode_all::<P>(listing.items.iter()),
-            absent: Absent::Unlisted,
+            listed,
+            removed,
             listing: self.recovery.listing(now_ms),
             proven_at_ms: sent_at_ms,
         };
         self.take_over(changes, now_ms)
     }
 
+    /// The known targets that the store does not list. An entry that cannot be decoded still stands
+    /// for its target.
+    fn unlisted_targets<P: Platform>(&self, listing: &Listing) -> Vec<(u64, Key)> {
+        let mut listed: Vec<Key> = listing
+            .items
+            .iter()
+            .filter_map(|item| match P::source(&item.key) {
+                Source::Target(id) => Some(Key::Target(id)),
+                _ => None,
+            })
+            .collect();
+        listed.sort_unstable();
+        let rows = self.relay.catalog().rows().iter();
+        rows.map(|row| row.record.key())
+            .filter(|key| matches!(key, Key::Target(_)) && listed.binary_search(key).is_err())
+            .map(|key| (listing.revision, key))
+            .collect()
+    }
+
     /// The store told what has changed.
     pub(crate) fn on_change_list<P: Platform>(
         &mut self,
@@ -177,7 +232,7 @@
         let changes = Changes {
             revision: list.revision,
             listed,
-            absent: Absent::Removed(removed),
+            removed,
             listing: self.recovery.listing(now_ms),
             proven_at_ms,
         };
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -21,7 +21,7 @@
     channel::{Receiver, Sender, bounded},
     net::UdpSocket,
 };
-use tagged::{CheckVerdict, Event as Decision, HostLoad};
+use tagged::{CheckVerdict, Event as Decision, HostLoad, TargetLoad};
 use telemetry::{Event, field};
 use wire::{Control as Message, Frame, FrameKind};
 
@@ -35,6 +35,9 @@
 /// How often control state advances, in milliseconds.
 const TICK_MS: u64 = 100;
 
+/// The same while the host has no directory and callers wait for it.
+const NEWCOMER_TICK_MS: u64 = 10;
+
 /// A gap between two ticks after which waiting datagrams say nothing about the present, in
 /// milliseconds.
 const PAUSE_MS: u64 = 500;
@@ -46,9 +49,9 @@
 /// How often the settings file is looked at, in milliseconds; it may change without a signal.
 const SETTINGS_MS: u64 = 5_000;
 
-/// How long a health check may take, in milliseconds: a target that is slow by its load answers
-/// within that, and callers of a dead one wait as long.
-const CHECK_MS: u64 = 600;
+/// How long a target may take to accept a connection, in milliseconds; it is tried twice. Many round
+/// trips even between failure domains, and little beside the time limits of callers.
+const CHECK_MS: u64 = 200;
 
 /// How long the host forwards after it reports that it is not ready, in milliseconds: routers ask
 /// twice a second and leave a host out after two misses.
@@ -76,6 +79,8 @@
     next_number: Rc<Cell<u64>>,
     published_digest: Rc<Cell<Option<(u64, catalog::Digest)>>>,
     is_stopping: Rc<Cell<bool>>,
+    /// The flows that this host sees, if others have not heard of them yet.
+    loads: Rc<RefCell<Option<Vec<TargetLoad>>>>,
     /// When this thread last ran, by the steady clock.
     seen_at_ms: Rc<Cell<u64>>,
     distrust_until_ms: Rc<Cell<u64>>,
@@ -98,6 +103,7 @@
             next_number: Rc::new(Cell::new(shared.incarnation << NUMBER_SHIFT)),
             published_digest: Rc::default(),
             is_stopping: Rc::default(),
+            loads: Rc::default(),
             seen_at_ms: Rc::new(Cell::new(clock::now_ms())),
             distrust_until_ms: Rc::default(),
             role_changes: bounded(1),
@@ -161,7 +167,10 @@
                 field("revision", catalog.revision()),
                 field("listeners", directory.listeners().len()),
                 field("targets", directory.target_count()),
-                field("view_age_ms", clock::now_ms().saturating_sub(relay.confirmed_at_ms().unwrap_or(0))),
+                field(
+                    "view_age_ms",
+                    clock::now_ms().saturating_sub(relay.confirmed_at_ms().unwrap_or(0)),
+                ),
             ],
         );
         self.shared.directory.store(Some(Arc::new(directory)));
@@ -195,9 +204,8 @@
         frame.seal(&self.shared.peer_key, &mut datagram);
         let socket = self.socket.clone();
         // A UDP socket takes a datagram at once or, if its buffer is full, loses it like the network.
-        let sent = smol::future::block_on(futures_lite::future::poll_once(
-            socket.send_to(&datagram, to),
-        ));
+        let sent =
+            smol::future::block_on(futures_lite::future::poll_once(socket.send_to(&datagram, to)));
         if let Some(Err(error)) = sent {
             telemetry::emit(Event::SendFailed, &[field("cause", error), field("to", to)]);
         }
@@ -249,7 +257,11 @@
                     self.with_core(|core| core.on_relay(from, frame.sender, message, now_ms));
                 self.after_change(mail);
             }
-            Message::Loads(targets) => {
+            Message::Loads(mut targets) => {
+                // What hosts of other failure domains cannot reach may well be reachable here.
+                if !self.with_core(|core| core.is_near(frame.sender)) {
+                    targets.iter_mut().for_each(|target| target.is_dead = false);
+                }
                 let load = HostLoad { host: frame.sender, targets };
                 // A full channel means that the data thread is behind; another report follows.
                 let _ = self.shared.commands.0.try_send(Command::Loads(load));
@@ -265,26 +277,37 @@
             self.is_after_pause(now_ms);
             let mail = self.with_core(|core| core.tick(now_ms));
             self.after_change(mail);
+            self.send_loads(now_ms);
             let next = self.with_core(|core| core.relay().role());
             if next != role {
                 role = next;
                 // A change that is not yet taken up is enough.
                 let _ = self.role_changes.0.try_send(());
             }
-            Timer::after(Duration::from_millis(TICK_MS)).await;
+            let is_new = self.shared.directory.load().is_none();
+            let pause_ms = if is_new { NEWCOMER_TICK_MS } else { TICK_MS };
+            Timer::after(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    fn send_loads(&self, now_ms: u64) {
+        if self.loads.borrow().is_none() {
+            return;
+        }
+        let receivers = self.with_core(|core| core.take_load_receivers(&self.shared, now_ms));
+        if receivers.is_empty() {
+            return;
+        }
+        if let Some(loads) = self.loads.take() {
+            let message = Message::Loads(loads);
+            receivers.into_iter().for_each(|to| self.send(to, &message));
         }
     }
 
     async fn follow_data_thread(self) {
         while let Ok(notice) = self.shared.notices.1.recv().await {
             match notice {
-                Notice::Loads(loads) => {
-                    let receivers = self.with_core(|core| core.load_receivers(&self.shared));
-                    let message = Message::Loads(loads);
-                    for to in receivers {
-                        self.send(to, &message);
-                    }
-                }
+                Notice::Loads(loads) => *self.loads.borrow_mut() = Some(loads),
                 Notice::Check(target) => self.spawn(self.clone().check(target)),
                 Notice::Events(events, left_out) => log_decisions(&events, left_out),
             }
@@ -295,18 +318,16 @@
         let Some(directory) = self.shared.directory.load_full() else { return };
         let Some(index) = directory.find_target(target) else { return };
         let record = directory.target(index);
-        let Some(service) = directory.find_service(record.service_seed) else { return };
         let started_at_ms = clock::now_ms();
-        let timeout = Duration::from_millis(CHECK_MS);
-        let answer =
-            store::get_text(record.address.into(), &service.health_path, timeout).await;
-        let verdict = match &answer {
-            Ok(_) => CheckVerdict::Answered,
-            Err(_) => CheckVerdict::Failed,
-        };
-        let shown = match answer {
-            Ok((status, _)) => format!("status {status}"),
-            Err(error) => error.to_string(),
+        // A target that accepts a connection lives, however long its requests wait.
+        let (address, timeout) = (record.address.into(), Duration::from_millis(CHECK_MS));
+        let mut answer = store::probe(address, timeout).await;
+        if answer.is_err() {
+            answer = store::probe(address, timeout).await;
+        }
+        let (verdict, shown) = match answer {
+            Ok(()) => (CheckVerdict::Answered, "connected".to_owned()),
+            Err(error) => (CheckVerdict::Failed, error.to_string()),
         };
         telemetry::emit(
             Event::TargetChecked,
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -154,12 +154,7 @@
     fn take_commands(&mut self, now_ms: u64) {
         while let Ok(command) = self.shared.commands.1.try_recv() {
             match command {
-                Command::Loads(load) => {
-                    for target in load.targets.iter().filter(|target| target.is_dead) {
-                        self.traffic.on_reported_dead(target.target, now_ms);
-                    }
-                    self.traffic.others().on_report(load, now_ms);
-                }
+                Command::Loads(load) => self.traffic.on_report(load, now_ms),
                 Command::Checked { target, verdict, started_at_ms } => {
                     self.traffic.on_check(target, verdict, started_at_ms, now_ms);
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,11 +23,11 @@
 use eyre::{Result, WrapErr, eyre};
 use telemetry::{Event, field};
 
+use crate::{data_thread::DataThread, shared::Shared};
 pub use crate::{
     platform::{DecodeFault, Platform, Source},
     settings_file::EdgeSettings,
 };
-use crate::{data_thread::DataThread, shared::Shared};
 
 /// Runs a host by the settings at `path` until it is told to stop.
 ///
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -112,11 +112,7 @@
     debug_assert_eq!(Counters::NAMES.len(), Counter::Dead as usize + 1);
 }
 
-fn observe_reasons(
-    state: &State,
-    name: &'static str,
-    read: fn(&Counters, tagged::Reason) -> u64,
-) {
+fn observe_reasons(state: &State, name: &'static str, read: fn(&Counters, tagged::Reason) -> u64) {
     let status = state.shared.status.clone();
     state.shared.metrics.observe(name, move || {
         let Ok(status) = status.lock() else { return Vec::new() };
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -14,6 +14,10 @@
 /// really quiet, so it is well below the age at which a catalog is stale.
 const WAIT_MS: u64 = 1_000;
 
+/// The same after an answer with changes, which shows only that the store was current when it was
+/// asked.
+const FOLLOW_UP_MS: u64 = 500;
+
 /// The pause after a failed call, in milliseconds, doubled up to the longest one, and half as much
 /// again at random.
 const PAUSE_MS: u64 = 100;
@@ -24,6 +28,7 @@
     let mut store = P::open_store(state.shared.settings.store_address);
     let mut pause_ms = PAUSE_MS;
     let mut is_following = false;
+    let mut wait_ms = WAIT_MS;
     let mut was_reader = false;
     loop {
         let is_reader = state.with_core(|core| core.relay().role() == Role::Reader);
@@ -37,9 +42,10 @@
             state.role_changed().await;
             continue;
         }
-        match read_once::<P>(&state, &mut store, is_following).await {
-            Ok(()) => {
+        match read_once::<P>(&state, &mut store, is_following.then_some(wait_ms)).await {
+            Ok(has_changes) => {
                 is_following = true;
+                wait_ms = if has_changes { FOLLOW_UP_MS } else { WAIT_MS };
                 pause_ms = PAUSE_MS;
             }
             Err(error) => {
@@ -57,26 +63,28 @@
     }
 }
 
+/// Lists everything, or waits for changes if `wait_ms` is given. Returns whether there were any.
 async fn read_once<P: Platform>(
     state: &State,
     store: &mut P::Store,
-    is_following: bool,
-) -> Result<(), StoreError> {
+    wait_ms: Option<u64>,
+) -> Result<bool, StoreError> {
     let sent_at_ms = clock::now_ms();
     let revision = state.with_core(|core| core.relay().catalog().revision());
-    if !is_following || revision == 0 {
+    let Some(wait_ms) = wait_ms.filter(|_| revision > 0) else {
         let listing = store.list(P::PREFIX).await?;
         let now_ms = clock::now_ms();
         let mail = state.with_core(|core| core.on_listing::<P>(listing, sent_at_ms, now_ms));
         state.after_change(mail);
-        return Ok(());
-    }
-    let list = store.watch(P::PREFIX, revision, Duration::from_millis(WAIT_MS)).await?;
+        return Ok(true);
+    };
+    let list = store.watch(P::PREFIX, revision, Duration::from_millis(wait_ms)).await?;
     let now_ms = clock::now_ms();
+    let has_changes = !list.changes.is_empty();
     // An empty answer was given at the end of the wait at the earliest.
-    let waited_ms = if list.changes.is_empty() { WAIT_MS.min(now_ms - sent_at_ms) } else { 0 };
+    let waited_ms = if has_changes { 0 } else { wait_ms.min(now_ms - sent_at_ms) };
     let proven_at_ms = sent_at_ms + waited_ms;
     let mail = state.with_core(|core| core.on_change_list::<P>(list, proven_at_ms, now_ms));
     state.after_change(mail);
-    Ok(())
+    Ok(has_changes)
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,7 +3,7 @@
 /// Bounds and periods, in milliseconds unless said otherwise.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Config {
-    /// How often a reader sends heartbeats.
+    /// How often a reader sends heartbeats while it reads nothing new; each reading sends one.
     pub heartbeat_ms: u64,
     /// How old a confirmation may be before others are asked. Longer than a waiting read of the
     /// store and a heartbeat together, shorter than the time in which settings have to be in force.
@@ -28,10 +28,10 @@
 impl Default for Config {
     fn default() -> Config {
         Config {
-            heartbeat_ms: 400,
-            fresh_ms: 1_500,
+            heartbeat_ms: 800,
+            fresh_ms: 1_900,
             answer_ms: 200,
-            newcomer_ms: 60,
+            newcomer_ms: 10,
             rank_step_ms: 300,
             fanout: 16,
             asked: 3,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,5 +21,5 @@
     config::Config,
     message::{Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope},
     recovery::Recovery,
-    relay::{Absent, Changes, Relay, Role},
+    relay::{Changes, Relay, Role},
 };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -33,23 +33,14 @@
     pub revision: u64,
     /// The records that are listed, with their revisions.
     pub listed: Vec<(u64, Record)>,
-    /// What is no longer listed.
-    pub absent: Absent,
+    /// What is no longer listed, each with the revision as of which it is not.
+    pub removed: Vec<(u64, Key)>,
     /// What absence means.
     pub listing: Listing,
     /// The moment for which the reading holds, by the steady clock.
     pub proven_at_ms: u64,
 }
 
-/// Which records a reading found to be absent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Absent {
-    /// The reading covers everything: whatever it does not list.
-    Unlisted,
-    /// These, each with the revision of its removal.
-    Removed(Vec<(u64, Key)>),
-}
-
 /// The catalog of one host, and what is needed to keep it current.
 #[derive(Debug)]
 pub struct Relay {
@@ -131,37 +122,27 @@
 
     /// Takes over what this host read from the store and gives the messages that spread it.
     pub fn on_changes(&mut self, changes: Changes, now_ms: u64) -> Vec<Outgoing> {
-        let Changes { revision, listed, absent, listing, proven_at_ms } = changes;
+        let Changes { revision, listed, removed, listing, proven_at_ms } = changes;
         let after = self.catalog.revision();
         let mut news = Vec::new();
-        let mut keys: Vec<Key> = Vec::with_capacity(listed.len());
         for (revision, record) in listed {
-            keys.push(record.key());
             let row = Row { revision, presence: Presence::Listed, record };
             if self.catalog.merge(row.clone()) {
                 news.push(row);
             }
         }
-        match absent {
-            Absent::Unlisted => {
-                keys.sort_unstable();
-                news.extend(self.catalog.mark_absent(revision, listing, |row| {
-                    keys.binary_search(&row.record.key()).is_err()
-                }));
-            }
-            Absent::Removed(removed) => {
-                for (revision, key) in removed {
-                    news.extend(
-                        self.catalog
-                            .mark_absent(revision, listing, |row| row.record.key() == key),
-                    );
-                }
-            }
+        for (revision, key) in removed {
+            let is_removed = |row: &Row| row.record.key() == key;
+            news.extend(self.catalog.mark_absent(revision, listing, is_removed));
         }
         self.catalog.advance(revision);
         self.confirm(proven_at_ms);
         self.note_gone(&news, now_ms);
-        if news.is_empty() { Vec::new() } else { self.push(after, news, now_ms) }
+        self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
+        if news.is_empty() {
+            return self.send_heartbeats(now_ms);
+        }
+        self.push(after, news, now_ms)
     }
 
     /// Takes records that lapsed for gone, once the store has been well for long enough.
@@ -397,8 +378,9 @@
     fn ask_if_stale(&mut self, now_ms: u64) -> Vec<Outgoing> {
         // Others are asked early enough that their answers come before the catalog is stale.
         let limit_ms = self.config.fresh_ms - self.config.answer_ms;
-        let is_due =
-            self.asked_at_ms.is_none_or(|asked_at_ms| now_ms >= asked_at_ms + 2 * self.config.answer_ms);
+        let is_due = self
+            .asked_at_ms
+            .is_none_or(|asked_at_ms| now_ms >= asked_at_ms + 2 * self.config.answer_ms);
         if self.age_ms(self.told_at_ms, now_ms) < limit_ms || !is_due || self.peers.is_empty() {
             return Vec::new();
         }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -122,6 +122,20 @@
     Ok((answer.status, String::from_utf8_lossy(&answer.body).into_owned()))
 }
 
+/// Opens a connection to `address` and closes it.
+///
+/// # Errors
+///
+/// Fails if none is accepted within `timeout`.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Result<(), StoreError> {
+    let connect = async { open_connection(address).await.map(drop) };
+    let late = async {
+        Timer::after(timeout).await;
+        Err(StoreError::Unreachable(format!("{address}: no connection within {timeout:?}")))
+    };
+    connect.or(late).await
+}
+
 async fn open_connection(address: SocketAddr) -> Result<Open, StoreError> {
     let unreachable = |cause: String| StoreError::Unreachable(format!("{address}: {cause}"));
     let stream =
@@ -140,7 +154,8 @@
     path: &str,
     body: Vec<u8>,
 ) -> Result<Answer, StoreError> {
-    let mut request = Request::builder().method(method).uri(path).header("host", address.to_string());
+    let mut request =
+        Request::builder().method(method).uri(path).header("host", address.to_string());
     if !body.is_empty() {
         request = request.header("content-type", "application/json");
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,7 +21,7 @@
     accept::{Accepted, Edit, Rejection, accept, history, load, read_root},
     client::{PlatformClient, ServiceHost},
     error::StoreError,
-    http::{Answer, Connection, get_text, post_text},
+    http::{Answer, Connection, get_text, post_text, probe},
     key_value::{Entry, KeyValue, Read, Swap, Wait},
     ranges::{Change, ChangeList, Item, Listing, RangeStore},
 };
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -5,16 +5,16 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    Candidate, CheckVerdict, Config, Counter, Counters, Event, Health, LoadBoard, Reason, Segment,
-    SegmentKind, Standing, TargetLoad, Verdict, choose,
+    Candidate, CheckVerdict, Config, Counter, Counters, Event, Health, HostLoad, LoadBoard, Reason,
+    Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
     flows::{FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
 };
 
 /// The n-th repetition of the same data that counts as a flow without progress. Callers repeat
-/// after 200 ms and then after twice the pause, so the second comes 600 ms after the data.
-const STALLED_REPEATS: u8 = 2;
+/// after 200 ms, several times a round trip.
+const STALLED_REPEATS: u8 = 1;
 
 /// How much a request under way counts beside an open flow: an open flow of the users' boards has a
 /// request under way about a tenth of the time.
@@ -23,6 +23,9 @@
 /// How much fuller a target counts while it is slow after its start.
 const WARMUP_FACTOR: f64 = 1.6;
 
+/// How many other hosts have to hold a target for dead until it is suspected here.
+const DEAD_REPORTS: u32 = 2;
+
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
@@ -94,11 +97,6 @@
         self.flows.len()
     }
 
-    /// Where other hosts' reports go.
-    pub fn others(&mut self) -> &mut LoadBoard {
-        &mut self.others
-    }
-
     /// Takes the events since the last call, and how many did not fit.
     pub fn take_events(&mut self) -> (Vec<Event>, u64) {
         (std::mem::take(&mut self.events), std::mem::take(&mut self.events_left_out))
@@ -176,10 +174,14 @@
         }
     }
 
-    /// Another host holds `target` for dead.
-    pub fn on_reported_dead(&mut self, target: TargetId, now_ms: u64) {
-        if self.health.on_reported_dead(target, &self.config, now_ms) {
-            self.note_standing(target);
+    /// Another host tells what it sees.
+    pub fn on_report(&mut self, load: HostLoad, now_ms: u64) {
+        self.others.on_report(load, now_ms);
+        // One host alone may be cut off itself.
+        for target in self.others.dead(DEAD_REPORTS) {
+            if self.health.on_reported_dead(target, &self.config, now_ms) {
+                self.note_standing(target);
+            }
         }
     }
 
@@ -204,13 +206,7 @@
         loads
     }
 
-    fn on_opening(
-        &mut self,
-        view: View<'_>,
-        segment: &Segment,
-        copy: u32,
-        now_ms: u64,
-    ) -> Verdict {
+    fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
             return self.refuse(view, Reason::NoListener);
         };
@@ -233,7 +229,7 @@
                 }
             }
         }
-        let Some(index) = self.place(view, listener, segment, &tried, now_ms) else {
+        let Some(index) = self.place(view, listener, &tried, now_ms) else {
             return self.refuse(view, Reason::NoTarget);
         };
         let target = view.directory.target(index);
@@ -272,9 +268,7 @@
             return self.refuse(view, Reason::NoListener);
         }
         self.observe(segment, target.id, now_ms);
-        if self.health.standing(target.id) == Standing::Dead
-            && segment.kind != SegmentKind::Abort
-        {
+        if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
             self.release_flow(segment);
             return Verdict::Reset(Reason::TargetDead);
         }
@@ -306,7 +300,6 @@
         &mut self,
         view: View<'_>,
         listener: &Listener,
-        segment: &Segment,
         tried: &[TargetId],
         now_ms: u64,
     ) -> Option<TargetIndex> {
@@ -321,7 +314,6 @@
         if !untried.is_empty() {
             candidates = untried;
         }
-        let _ = segment;
         choose(&candidates, ties)
     }
 
@@ -378,7 +370,8 @@
         let signal = self.flows.update(segment, now_ms);
         let is_busy = self.flows.get(&segment.key).is_some_and(|flow| flow.is_busy);
         let own = self.own.entry(target).or_default();
-        own.busy = own.busy + u32::from(is_busy) - u32::from(was_busy).min(own.busy + u32::from(is_busy));
+        own.busy =
+            own.busy + u32::from(is_busy) - u32::from(was_busy).min(own.busy + u32::from(is_busy));
         let has_changed = match signal {
             Signal::None => false,
             Signal::Progress => self.health.on_progress(target, now_ms),
@@ -454,6 +447,9 @@
     let index = view.directory.find_target(target)?;
     let tag = view.directory.tag_for(index)?;
     let address = view.directory.target(index).address;
-    (view.directory.presence(index) != Presence::Gone)
-        .then_some(Verdict::Forward { target, address, tag })
+    (view.directory.presence(index) != Presence::Gone).then_some(Verdict::Forward {
+        target,
+        address,
+        tag,
+    })
 }
