Reset the flows of a dead target at once, and tell the other hosts

Now a host resets all flows that it remembers when a target turns dead or gone; a report of a host of the same failure domain counts if this host has evidence of its own, else the target is checked; the check takes 240 ms in place of 400 ms; a target whose address another has taken over counts as gone. Ruled out: a check after the first repeated packet, since answers over 200 ms are common under load.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -42,6 +42,7 @@
                 }
             }
         }
+        directory.replace_reused();
         directory.tags = TagTable::new(directory.targets.iter().map(|(target, _)| target.id));
         directory.open = directory
             .targets
@@ -56,6 +57,24 @@
         directory
     }
 
+    /// Takes a target for gone if another was started at its address later: its entry has not
+    /// lapsed yet.
+    fn replace_reused(&mut self) {
+        let mut order: Vec<usize> = (0..self.targets.len())
+            .filter(|position| self.targets[*position].1 != Presence::Gone)
+            .collect();
+        order.sort_unstable_by_key(|position| {
+            let target = &self.targets[*position].0;
+            (target.address, target.started_at_ms)
+        });
+        for pair in order.windows(2) {
+            let (earlier, later) = (&self.targets[pair[0]].0, &self.targets[pair[1]].0);
+            if earlier.address == later.address && earlier.started_at_ms < later.started_at_ms {
+                self.targets[pair[0]].1 = Presence::Gone;
+            }
+        }
+    }
+
     /// Every listener, sorted by address.
     pub fn listeners(&self) -> &[Listener] {
         &self.listeners
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -152,6 +152,11 @@
             .collect()
     }
 
+    /// Makes the next report due now.
+    pub(crate) fn hurry_loads(&mut self) {
+        self.loads_sent_at_ms = 0;
+    }
+
     /// Whether `host` is in this host's failure domain.
     pub(crate) fn is_near(&self, host: HostId) -> bool {
         let table = self.membership.table();
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -51,7 +51,7 @@
 
 /// How long a target may take to accept a connection, in milliseconds; it is tried twice. Many round
 /// trips even between failure domains, and little beside the time limits of callers.
-const CHECK_MS: u64 = 200;
+const CHECK_MS: u64 = 120;
 
 /// How long the host forwards after it reports that it is not ready, in milliseconds: routers ask
 /// twice a second and leave a host out after two misses.
@@ -307,7 +307,13 @@
     async fn follow_data_thread(self) {
         while let Ok(notice) = self.shared.notices.1.recv().await {
             match notice {
-                Notice::Loads(loads) => *self.loads.borrow_mut() = Some(loads),
+                Notice::Loads(news) => {
+                    *self.loads.borrow_mut() = Some(news.loads);
+                    if news.is_urgent {
+                        self.with_core(|core| core.hurry_loads());
+                        self.send_loads(clock::now_ms());
+                    }
+                }
                 Notice::Check(target) => self.spawn(self.clone().check(target)),
                 Notice::Events(events, left_out) => log_decisions(&events, left_out),
             }
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, ErrorKind},
     marker::PhantomData,
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -85,6 +86,7 @@
             if let Some(length) = length_of(received)? {
                 self.handle(&buffer[..length], now_ms, now_ms);
             }
+            self.send_resets();
             self.hand_over(now_ms);
         }
         Ok(())
@@ -104,23 +106,35 @@
         self.carry_out(verdict, &segment, datagram);
     }
 
-    fn carry_out(&mut self, verdict: Verdict, segment: &Segment, packet: &[u8]) {
+    fn send_resets(&mut self) {
+        for segment in self.traffic.take_resets() {
+            self.send_reset(&segment);
+        }
+    }
+
+    fn send_reset(&mut self, segment: &Segment) {
         self.out.clear();
-        let to = match verdict {
+        P::write_reset(segment, &mut self.out);
+        // Callers listen at the port at which hosts receive.
+        let to = (*segment.key.caller.ip(), self.shared.settings.data_address.port()).into();
+        self.send(to);
+    }
+
+    fn send(&self, to: SocketAddr) {
+        if let Err(error) = self.shared.data.send_to(&self.out, to) {
+            telemetry::emit(Event::SendFailed, &[field("cause", error), field("to", to)]);
+        }
+    }
+
+    fn carry_out(&mut self, verdict: Verdict, segment: &Segment, packet: &[u8]) {
+        match verdict {
             Verdict::Forward { target, address, tag } => {
+                self.out.clear();
                 P::write_forward(packet, target, tag, &mut self.out);
-                address.into()
+                self.send(address.into());
             }
-            Verdict::Reset(_) => {
-                P::write_reset(segment, &mut self.out);
-                let caller = *segment.key.caller.ip();
-                (caller, self.shared.settings.data_address.port()).into()
-            }
-            Verdict::Hold | Verdict::Drop(_) => return,
-        };
-        let to: std::net::SocketAddr = to;
-        if let Err(error) = self.shared.data.send_to(&self.out, to) {
-            telemetry::emit(Event::SendFailed, &[field("cause", error), field("to", to)]);
+            Verdict::Reset(_) => self.send_reset(segment),
+            Verdict::Hold | Verdict::Drop(_) => {}
         }
     }
 
@@ -171,8 +185,8 @@
             let view = View { directory: &directory, age_ms: self.view_age_ms(now_ms) };
             self.traffic.on_tick(view, now_ms);
         }
-        if let Some(loads) = self.traffic.take_load_news() {
-            self.tell(Notice::Loads(loads));
+        if let Some(news) = self.traffic.take_load_news() {
+            self.tell(Notice::Loads(news));
         }
         for target in self.traffic.take_due_checks(now_ms) {
             self.tell(Notice::Check(target));
@@ -197,7 +211,7 @@
     }
 }
 
-fn length_of(received: io::Result<(usize, std::net::SocketAddr)>) -> Result<Option<usize>> {
+fn length_of(received: io::Result<(usize, SocketAddr)>) -> Result<Option<usize>> {
     match received {
         Ok((length, _)) => Ok(Some(length)),
         // A refused connection is the echo of an earlier datagram to a host that is gone.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use routing::HostId;
 use settings::name_seed;
 use smol::channel::{Receiver, Sender, bounded};
-use tagged::{CheckVerdict, Counters, Event, HostLoad, TargetLoad};
+use tagged::{CheckVerdict, Counters, Event, HostLoad, LoadNews};
 use telemetry::Metrics;
 use wire::PeerKey;
 
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub(crate) enum Notice {
     /// The flows that this host sees have changed.
-    Loads(Vec<TargetLoad>),
+    Loads(LoadNews),
     /// A target is to be checked.
     Check(TargetId),
     /// Decisions, and how many were left out.
--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -24,6 +24,8 @@
     pub unknown_ms: u64,
     /// How long a suspicion lasts without confirmation.
     pub suspicion_ms: u64,
+    /// How long ago a target may have answered for others' reports of its death to be ignored.
+    pub heard_ms: u64,
     /// How long a target that failed its check counts as dead before it is checked again.
     pub dead_ms: u64,
 }
@@ -40,6 +42,7 @@
             report_ms: 5_000,
             unknown_ms: 1_000,
             suspicion_ms: 2_000,
+            heard_ms: 300,
             dead_ms: 2_000,
         }
     }
--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -42,6 +42,12 @@
         self.flows.get(key)
     }
 
+    /// The flows of `target`, each with the number that its caller acknowledged last.
+    pub(crate) fn of_target(&self, target: TargetId) -> Vec<(FlowKey, u32)> {
+        let flows = self.flows.iter().filter(|(_, flow)| flow.target == target);
+        flows.map(|(key, flow)| (*key, flow.last_acknowledged)).collect()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.flows.len()
     }
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -58,6 +58,12 @@
         self.find(target).map_or(Standing::Good, |record| record.standing)
     }
 
+    /// The targets that failed their check.
+    pub fn dead(&self) -> impl Iterator<Item = TargetId> {
+        let dead = self.records.iter().filter(|record| record.standing == Standing::Dead);
+        dead.map(|record| record.target)
+    }
+
     /// The evidence against `target`: openings without an answer and flows without progress.
     pub fn evidence(&self, target: TargetId) -> (u32, u32) {
         self.find(target).map_or((0, 0), |record| (record.failed_openings, record.stalled_flows))
@@ -65,8 +71,7 @@
 
     /// A flow of `target` made progress. Returns whether the standing changed.
     pub fn on_progress(&mut self, target: TargetId, now_ms: u64) -> bool {
-        let Ok(position) = self.position(target) else { return false };
-        let record = &mut self.records[position];
+        let record = self.record(target, now_ms);
         record.progress_at_ms = now_ms;
         record.failed_openings = 0;
         record.stalled_flows = 0;
@@ -88,15 +93,24 @@
         record.suspect(now_ms)
     }
 
-    /// Another host holds `target` for dead. Returns whether the standing changed.
+    /// A host of the same failure domain holds `target` for dead. Returns whether the standing
+    /// changed.
+    ///
+    /// With evidence of this host's own that is enough; without any the target is checked.
     pub fn on_reported_dead(&mut self, target: TargetId, config: &Config, now_ms: u64) -> bool {
         let record = self.record(target, now_ms);
+        if record.standing == Standing::Dead {
+            return false;
+        }
+        if record.failed_openings + record.stalled_flows > 0 {
+            return record.change(Standing::Dead, now_ms);
+        }
         // What this host hears itself goes before what others report.
-        let has_evidence = record.failed_openings + record.stalled_flows > 0;
-        let is_heard = record.progress_at_ms + config.suspicion_ms > now_ms && !has_evidence;
+        let is_heard = now_ms < record.progress_at_ms + config.heard_ms;
         if is_heard || record.standing != Standing::Good {
             return false;
         }
+        record.is_check_due = true;
         record.change(Standing::Suspect, now_ms)
     }
 
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -31,5 +31,5 @@
     health::{Health, Standing, Verdict as CheckVerdict},
     load::{HostLoad, LoadBoard, TargetLoad},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
-    traffic::{Traffic, View},
+    traffic::{LoadNews, Traffic, View},
 };
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -36,14 +36,7 @@
 pub struct LoadBoard {
     reports: Vec<Report>,
     /// The sum over all reports, sorted by target.
-    totals: Vec<Total>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Total {
-    load: TargetLoad,
-    /// How many hosts hold the target for dead.
-    dead_reports: u32,
+    totals: Vec<TargetLoad>,
 }
 
 impl LoadBoard {
@@ -71,14 +64,8 @@
     pub fn get(&self, target: TargetId) -> TargetLoad {
         let none = TargetLoad { target, flows: 0, busy: 0, is_dead: false };
         self.totals
-            .binary_search_by_key(&target, |total| total.load.target)
-            .map_or(none, |position| self.totals[position].load)
-    }
-
-    /// The targets that at least `reports` other hosts hold for dead.
-    pub fn dead(&self, reports: u32) -> Vec<TargetId> {
-        let dead = self.totals.iter().filter(|total| total.dead_reports >= reports);
-        dead.map(|total| total.load.target).collect()
+            .binary_search_by_key(&target, |total| total.target)
+            .map_or(none, |position| self.totals[position])
     }
 
     fn add_up(&mut self) {
@@ -87,15 +74,13 @@
         all.sort_unstable_by_key(|load| load.target);
         self.totals.clear();
         for load in all {
-            let dead_reports = u32::from(load.is_dead);
             match self.totals.last_mut() {
-                Some(total) if total.load.target == load.target => {
-                    total.load.flows += load.flows;
-                    total.load.busy += load.busy;
-                    total.load.is_dead |= load.is_dead;
-                    total.dead_reports += dead_reports;
+                Some(total) if total.target == load.target => {
+                    total.flows += load.flows;
+                    total.busy += load.busy;
+                    total.is_dead |= load.is_dead;
                 }
-                _ => self.totals.push(Total { load, dead_reports }),
+                _ => self.totals.push(load),
             }
         }
     }
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -23,9 +23,6 @@
 /// How much fuller a target counts while it is slow after its start.
 const WARMUP_FACTOR: f64 = 1.6;
 
-/// How many other hosts have to hold a target for dead until it is suspected here.
-const DEAD_REPORTS: u32 = 2;
-
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
@@ -38,6 +35,15 @@
     pub age_ms: u64,
 }
 
+/// What others should hear of this host's flows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadNews {
+    /// The flows of each target, sorted by target.
+    pub loads: Vec<TargetLoad>,
+    /// Whether a target was found dead, so that others should hear of it at once.
+    pub is_urgent: bool,
+}
+
 /// The state of one host's decisions.
 #[derive(Debug)]
 pub struct Traffic {
@@ -54,6 +60,8 @@
     events_left_out: u64,
     swept_at_ms: u64,
     has_load_news: bool,
+    has_dead_news: bool,
+    resets: Vec<Segment>,
     rng: StdRng,
 }
 
@@ -83,6 +91,8 @@
             events_left_out: 0,
             swept_at_ms: 0,
             has_load_news: false,
+            has_dead_news: false,
+            resets: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -143,8 +153,18 @@
         }
     }
 
-    /// A new view is in force: targets that are slow after their start are noted.
+    /// A new view is in force: flows of targets that are gone are reset, and targets that are slow
+    /// after their start are noted.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
+        let gone: Vec<TargetId> = (self.own.keys().copied())
+            .filter(|target| {
+                let index = directory.find_target(*target);
+                index.is_some_and(|index| directory.presence(index) == Presence::Gone)
+            })
+            .collect();
+        for target in gone {
+            self.reset_flows(target, Reason::TargetGone, directory.revision);
+        }
         self.warm_at_ms.retain(|target, _| directory.find_target(*target).is_some());
         for position in 0..directory.target_count() {
             let target = directory.target(TargetIndex(position));
@@ -169,25 +189,33 @@
         now_ms: u64,
     ) {
         if self.health.on_check(target, verdict, started_at_ms, now_ms) {
-            self.has_load_news = true;
-            self.note_standing(target);
+            self.follow_standing(target);
         }
     }
 
     /// Another host tells what it sees.
     pub fn on_report(&mut self, load: HostLoad, now_ms: u64) {
+        let dead: Vec<TargetId> =
+            load.targets.iter().filter(|load| load.is_dead).map(|load| load.target).collect();
         self.others.on_report(load, now_ms);
-        // One host alone may be cut off itself.
-        for target in self.others.dead(DEAD_REPORTS) {
+        for target in dead {
             if self.health.on_reported_dead(target, &self.config, now_ms) {
-                self.note_standing(target);
+                self.follow_standing(target);
             }
         }
     }
 
+    /// The flows that are to be reset at once, since their targets are gone or dead. A caller may
+    /// wait for an answer without sending anything.
+    pub fn take_resets(&mut self) -> Vec<Segment> {
+        std::mem::take(&mut self.resets)
+    }
+
     /// The flows that this host sees, for the others, if they changed since the last call.
-    pub fn take_load_news(&mut self) -> Option<Vec<TargetLoad>> {
-        std::mem::take(&mut self.has_load_news).then(|| self.loads())
+    pub fn take_load_news(&mut self) -> Option<LoadNews> {
+        let is_urgent = std::mem::take(&mut self.has_dead_news);
+        let loads = std::mem::take(&mut self.has_load_news).then(|| self.loads())?;
+        Some(LoadNews { loads, is_urgent })
     }
 
     /// The flows that this host sees, sorted by target.
@@ -202,6 +230,8 @@
                 is_dead: self.health.standing(*target) == Standing::Dead,
             })
             .collect();
+        let idle = self.health.dead().filter(|target| !self.own.contains_key(target));
+        loads.extend(idle.map(|target| TargetLoad { target, flows: 0, busy: 0, is_dead: true }));
         loads.sort_unstable_by_key(|load| load.target);
         loads
     }
@@ -416,6 +446,33 @@
         });
     }
 
+    /// A target's standing changed: others hear of it, and the flows of a dead one are reset.
+    fn follow_standing(&mut self, target: TargetId) {
+        self.has_load_news = true;
+        self.note_standing(target);
+        if self.health.standing(target) == Standing::Dead {
+            self.has_dead_news = true;
+            self.reset_flows(target, Reason::TargetDead, 0);
+        }
+    }
+
+    fn reset_flows(&mut self, target: TargetId, reason: Reason, revision: u64) {
+        for (key, acknowledged) in self.flows.of_target(target) {
+            let segment = Segment {
+                key,
+                kind: SegmentKind::Data,
+                tag: None,
+                sequence: 0,
+                acknowledged,
+                data_bytes: 0,
+            };
+            self.release_flow(&segment);
+            self.counters.count_reset(reason);
+            self.note(Event::Reset { key, target: Some(target), reason, revision, view_age_ms: 0 });
+            self.resets.push(segment);
+        }
+    }
+
     fn note_standing(&mut self, target: TargetId) {
         let standing = self.health.standing(target);
         if standing == Standing::Dead {
--- /dev/null
+++ b/crates/tagged/tests/dead_target.rs
@@ -0,0 +1,144 @@
+//! Flows of targets that die or are gone.
+//!
+//! Load pattern: many callers keep flows open to one target, it falls silent, and each caller waits
+//! for its time limit unless it is told.
+
+mod support;
+
+use catalog::{Presence, Row, TargetId};
+use routing::HostId;
+use support::{Host, NEAR, data, key, rows};
+use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
+
+const TARGET: TargetId = TargetId(1);
+
+/// Three flows to one target, each with a request under way.
+fn busy_host() -> (Host, catalog::FlowTag) {
+    let mut host = Host::new(&[(1, NEAR)]);
+    let mut tags = Vec::new();
+    for caller in 0..3 {
+        tags.push(host.open(caller, 0).1);
+        host.send(&data(caller, tags[0], 100, 50));
+    }
+    (host, tags[0])
+}
+
+#[test]
+fn silent_flows() {
+    let (mut host, tag) = busy_host();
+    host.now_ms += 200;
+    host.send(&data(0, tag, 100, 50));
+    assert!(
+        host.traffic.take_due_checks(host.now_ms).is_empty(),
+        "one flow may have lost a packet"
+    );
+    host.send(&data(1, tag, 100, 50));
+    assert_eq!(host.traffic.take_due_checks(host.now_ms), [TARGET]);
+    let started_at_ms = host.now_ms;
+    host.now_ms += 240;
+    host.traffic.on_check(TARGET, CheckVerdict::Failed, started_at_ms, host.now_ms);
+    // Also the caller that has sent nothing again is told.
+    let mut reset: Vec<_> = host.traffic.take_resets().iter().map(|reset| reset.key).collect();
+    reset.sort_unstable();
+    assert_eq!(reset, [key(0), key(1), key(2)]);
+    assert_eq!(host.send(&data(2, tag, 100, 50)), Verdict::Reset(Reason::TargetDead));
+}
+
+#[test]
+fn slow_target() {
+    let (mut host, tag) = busy_host();
+    host.now_ms += 200;
+    host.send(&data(0, tag, 100, 50));
+    host.send(&data(1, tag, 100, 50));
+    let started_at_ms = host.now_ms;
+    host.now_ms += 100;
+    // The third flow gets its answer while the check is under way.
+    host.send(&data(2, tag, 200, 90));
+    host.now_ms += 140;
+    host.traffic.on_check(TARGET, CheckVerdict::Failed, started_at_ms, host.now_ms);
+    assert!(host.traffic.take_resets().is_empty());
+    assert!(matches!(host.send(&data(0, tag, 100, 50)), Verdict::Forward { .. }));
+}
+
+#[test]
+fn idle_flows() {
+    let (mut host, _) = busy_host();
+    for _ in 0..20 {
+        host.now_ms += 250;
+        let view = tagged::View { directory: &host.directory, age_ms: 100 };
+        host.traffic.on_tick(view, host.now_ms);
+    }
+    assert!(host.traffic.take_due_checks(host.now_ms).is_empty(), "silence of callers is no sign");
+    assert!(host.traffic.take_resets().is_empty());
+}
+
+#[test]
+fn reported_dead() {
+    let report = HostLoad {
+        host: HostId(9),
+        targets: vec![TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true }],
+    };
+    let (mut host, tag) = busy_host();
+    host.now_ms += 200;
+    host.send(&data(0, tag, 100, 50));
+    host.traffic.on_report(report.clone(), host.now_ms);
+    assert_eq!(host.traffic.take_resets().len(), 3, "the report confirms what this host sees");
+
+    let (mut host, tag) = busy_host();
+    host.send(&data(0, tag, 200, 90));
+    host.traffic.on_report(report, host.now_ms);
+    assert!(host.traffic.take_resets().is_empty(), "the target has just answered here");
+}
+
+#[test]
+fn gone_target() {
+    let (mut host, tag) = busy_host();
+    let gone = rows(&[(1, NEAR)])
+        .into_iter()
+        .map(|row| match row.record {
+            catalog::Record::Target(_) => Row { revision: 2, presence: Presence::Gone, ..row },
+            _ => row,
+        })
+        .collect();
+    host.set_rows(gone);
+    assert_eq!(host.traffic.take_resets().len(), 3);
+    assert_eq!(host.send(&data(0, tag, 100, 50)), Verdict::Reset(Reason::TargetGone));
+}
+
+#[test]
+fn lapsed_target() {
+    let (mut host, tag) = busy_host();
+    let lapsed = rows(&[(1, NEAR)])
+        .into_iter()
+        .map(|row| Row { revision: 2, presence: Presence::Lapsed, ..row })
+        .collect();
+    host.set_rows(lapsed);
+    assert!(host.traffic.take_resets().is_empty(), "the store was away, not the target");
+    assert!(matches!(host.send(&data(0, tag, 100, 50)), Verdict::Forward { .. }));
+}
+
+#[test]
+fn reused_address() {
+    let (mut host, tag) = busy_host();
+    let mut all = rows(&[(1, NEAR), (2, NEAR)]);
+    for row in &mut all {
+        if let catalog::Record::Target(target) = &mut row.record {
+            target.started_at_ms = target.id.0;
+            target.address.set_ip([10, 0, 0, 1].into());
+        }
+    }
+    host.set_rows(all);
+    assert_eq!(host.send(&data(0, tag, 100, 50)), Verdict::Reset(Reason::TargetGone));
+}
+
+#[test]
+fn unknown_tag() {
+    let (mut host, _) = busy_host();
+    let unknown = catalog::FlowTag(0x1234_5678);
+    // Another host may have opened the flow to a target that was announced a moment ago.
+    assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Drop(Reason::UnknownTag));
+    host.now_ms += 900;
+    assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Drop(Reason::UnknownTag));
+    host.now_ms += 300;
+    assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Reset(Reason::UnknownTag));
+}
--- /dev/null
+++ b/crates/tagged/tests/support/mod.rs
@@ -0,0 +1,126 @@
+//! A host with two failure domains of targets, and the packets of callers.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddrV4;
+
+use catalog::{
+    Catalog, Directory, FlowTag, Kind, Limits, Listener, Presence, Record, Row, Share, Stage,
+    Target, TargetId,
+};
+use tagged::{Config, FlowKey, Segment, SegmentKind, Traffic, Verdict, View};
+
+/// The failure domain of the host under test.
+pub const NEAR: u64 = 1;
+/// Another one.
+pub const FAR: u64 = 2;
+/// The service of every target.
+pub const SERVICE: u64 = 7;
+
+/// Targets by identity and failure domain.
+pub fn rows(targets: &[(u64, u64)]) -> Vec<Row> {
+    let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
+    let listener = Record::Listener(Listener {
+        address: listener(),
+        shares: vec![Share { service_seed: SERVICE, weight: 1 }],
+        kind: Kind::Idempotent,
+        priority: 1,
+        aim_ms: 250,
+        timeout_ms: 1_500,
+    });
+    let targets = targets.iter().map(|(id, domain_seed)| Record::Target(target(*id, *domain_seed)));
+    [limits, listener]
+        .into_iter()
+        .chain(targets)
+        .map(|record| Row { revision: 1, presence: Presence::Listed, record })
+        .collect()
+}
+
+/// A ready target.
+pub fn target(id: u64, domain_seed: u64) -> Target {
+    Target {
+        id: TargetId(id),
+        service_seed: SERVICE,
+        address: SocketAddrV4::new([10, 0, 0, id as u8].into(), 8_000),
+        domain_seed,
+        slots: 3,
+        stage: Stage::Ready,
+        warmup_ms: 0,
+        started_at_ms: 0,
+    }
+}
+
+/// The directory of `rows`.
+pub fn directory(rows: Vec<Row>) -> Directory {
+    let mut catalog = Catalog::default();
+    for row in rows {
+        catalog.advance(row.revision);
+        catalog.merge(row);
+    }
+    Directory::new(&catalog)
+}
+
+/// The address that callers open flows to.
+pub fn listener() -> SocketAddrV4 {
+    SocketAddrV4::new([198, 18, 0, 1].into(), 443)
+}
+
+/// The flow of the caller with this number.
+pub fn key(caller: u16) -> FlowKey {
+    let ip = [100, 64, (caller >> 8) as u8, caller as u8];
+    FlowKey { caller: SocketAddrV4::new(ip.into(), 1_024), listener: listener() }
+}
+
+/// A host with its directory.
+pub struct Host {
+    pub traffic: Traffic,
+    pub directory: Directory,
+    pub age_ms: u64,
+    pub now_ms: u64,
+}
+
+impl Host {
+    /// A host whose directory holds `targets`.
+    pub fn new(targets: &[(u64, u64)]) -> Host {
+        let config = Config { domain_seed: NEAR, ..Config::default() };
+        let directory = directory(rows(targets));
+        Host { traffic: Traffic::new(config, 1), directory, age_ms: 100, now_ms: 10_000 }
+    }
+
+    /// Puts other rows in force.
+    pub fn set_rows(&mut self, rows: Vec<Row>) {
+        self.directory = directory(rows);
+        self.traffic.on_directory(&self.directory, self.now_ms);
+    }
+
+    /// Hands a packet to the host.
+    pub fn send(&mut self, segment: &Segment) -> Verdict {
+        let view = View { directory: &self.directory, age_ms: self.age_ms };
+        self.traffic.on_segment(view, segment, self.now_ms)
+    }
+
+    /// Opens the flow of `caller`; gives the target and the tag.
+    pub fn open(&mut self, caller: u16, copy: u32) -> (TargetId, FlowTag) {
+        match self.send(&opening(caller, copy)) {
+            Verdict::Forward { target, tag, .. } => (target, tag),
+            other => panic!("the opening was not forwarded: {other:?}"),
+        }
+    }
+}
+
+/// The opening of the flow of `caller`.
+pub fn opening(caller: u16, copy: u32) -> Segment {
+    let kind = SegmentKind::Open { copy };
+    Segment { key: key(caller), kind, tag: None, sequence: 5, acknowledged: copy, data_bytes: 0 }
+}
+
+/// Data of `caller`: its `sequence` grows with each request, `acknowledged` with each answer.
+pub fn data(caller: u16, tag: FlowTag, sequence: u32, acknowledged: u32) -> Segment {
+    Segment {
+        key: key(caller),
+        kind: SegmentKind::Data,
+        tag: Some(tag),
+        sequence,
+        acknowledged,
+        data_bytes: 100,
+    }
+}
