Let only hosts that read the store now call lapsed targets gone

The judgement now lives in the relay and ends with the reading. Test lapsed_then_back fails without the change.

The property test never_back found two more: an age did not count the time on the way, and rows that were passed on kept the age of the first sender.

An opening that got no answer avoids the failure domain of the target that was silent, and a failure domain of which several targets are silent is avoided at once (test cut_domain).

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -4,7 +4,7 @@
 
 use catalog::{Key, Record, Row};
 use membership::{Member, MemberState, Membership};
-use relay::{Changes, Peer, Recovery, Relay};
+use relay::{Changes, Peer, Relay};
 use routing::HostId;
 use store::{Change, ChangeList, Item, Listing, StoreError};
 use telemetry::{Event, field};
@@ -25,14 +25,13 @@
 /// Messages to other hosts.
 pub(crate) type Mail = Vec<(SocketAddr, Message)>;
 
-/// Membership, the relay and what is known of the store.
+/// Membership and the relay.
 pub(crate) struct Core {
     membership: Membership,
     relay: Relay,
-    recovery: Recovery,
     guard: ReplayGuard,
     members_version: u64,
-    /// When the store was last seen to refuse, for its log lines.
+    /// Whether the last call to the store was answered, for the log.
     is_store_well: bool,
     loads_sent_at_ms: u64,
     load_reports: u32,
@@ -63,7 +62,6 @@
         Core {
             membership,
             relay: Relay::new(config, shared.me, shared.domain_seed, now_ms, seed),
-            recovery: Recovery::default(),
             guard: ReplayGuard::default(),
             members_version: 0,
             is_store_well: true,
@@ -123,9 +121,6 @@
             self.membership.tick(now_ms, revision).into_iter().map(probe_mail).collect();
         self.follow_members();
         mail.extend(self.relay.tick(now_ms).into_iter().map(relay_mail));
-        if self.recovery.conclusive_at_ms().is_some_and(|at_ms| now_ms >= at_ms) {
-            mail.extend(self.relay.settle(now_ms).into_iter().map(relay_mail));
-        }
         mail
     }
 
@@ -170,7 +165,7 @@
         sent_at_ms: u64,
         now_ms: u64,
     ) -> Mail {
-        self.on_answer(now_ms);
+        self.on_answer();
         let listed = decode_all::<P>(listing.items.iter());
         let mut removed = self.unlisted_targets::<P>(&listing);
         for item in &listing.items {
@@ -178,13 +173,8 @@
                 removed.extend(self.replaced_settings(item, &listed));
             }
         }
-        let changes = Changes {
-            revision: listing.revision,
-            listed,
-            removed,
-            listing: self.recovery.listing(now_ms),
-            proven_at_ms: sent_at_ms,
-        };
+        let changes =
+            Changes { revision: listing.revision, listed, removed, proven_at_ms: sent_at_ms };
         self.take_over(changes, now_ms)
     }
 
@@ -214,7 +204,7 @@
         proven_at_ms: u64,
         now_ms: u64,
     ) -> Mail {
-        self.on_answer(now_ms);
+        self.on_answer();
         let written = list.changes.iter().filter_map(|change| match change {
             Change::Written(item) => Some(item),
             Change::Removed { .. } => None,
@@ -234,26 +224,19 @@
                 Change::Written(_) => {}
             }
         }
-        let changes = Changes {
-            revision: list.revision,
-            listed,
-            removed,
-            listing: self.recovery.listing(now_ms),
-            proven_at_ms,
-        };
+        let changes = Changes { revision: list.revision, listed, removed, proven_at_ms };
         self.take_over(changes, now_ms)
     }
 
     /// A call to the store failed.
     pub(crate) fn on_failure(&mut self, error: &StoreError) {
-        self.recovery.on_failure();
+        self.relay.on_store_failure();
         if std::mem::replace(&mut self.is_store_well, false) {
             telemetry::emit(Event::StoreUnavailable, &[field("cause", error)]);
         }
     }
 
-    fn on_answer(&mut self, now_ms: u64) {
-        self.recovery.on_answer(now_ms);
+    fn on_answer(&mut self) {
         if !std::mem::replace(&mut self.is_store_well, true) {
             telemetry::emit(Event::StoreAvailable, &[]);
         }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -8,6 +8,9 @@
     /// How old a confirmation may be before others are asked. Longer than a waiting read of the
     /// store and a heartbeat together, shorter than the time in which settings have to be in force.
     pub fresh_ms: u64,
+    /// How long a message may have been on its way, which its age does not tell: well above the
+    /// delay between regions.
+    pub transit_ms: u64,
     /// How long others may take to answer before the host reads the store itself.
     pub answer_ms: u64,
     /// How long a host that knows nothing gives others to answer before it reads the store: a few
@@ -30,6 +33,7 @@
         Config {
             heartbeat_ms: 800,
             fresh_ms: 1_900,
+            transit_ms: 80,
             answer_ms: 200,
             newcomer_ms: 10,
             rank_step_ms: 300,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,5 @@
 pub use crate::{
     config::Config,
     message::{Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope},
-    recovery::Recovery,
     relay::{Changes, Relay, Role},
 };
--- a/crates/relay/src/recovery.rs
+++ b/crates/relay/src/recovery.rs
@@ -8,32 +8,27 @@
 
 /// What a reader has seen of the store's health.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Recovery {
+pub(crate) struct Recovery {
     /// Since when every call was answered, by the steady clock; none while calls fail.
     well_since_ms: Option<u64>,
 }
 
 impl Recovery {
     /// A call was answered.
-    pub fn on_answer(&mut self, now_ms: u64) {
+    pub(crate) fn on_answer(&mut self, now_ms: u64) {
         self.well_since_ms.get_or_insert(now_ms);
     }
 
     /// A call failed, or the process was paused and may have missed failures.
-    pub fn on_failure(&mut self) {
+    pub(crate) fn on_failure(&mut self) {
         self.well_since_ms = None;
     }
 
     /// What an absence means now.
-    pub fn listing(&self, now_ms: u64) -> Listing {
+    pub(crate) fn listing(&self, now_ms: u64) -> Listing {
         match self.well_since_ms {
             Some(since_ms) if now_ms >= since_ms + RETURN_MS => Listing::Conclusive,
             _ => Listing::Provisional,
         }
     }
-
-    /// When absences become conclusive, unless a call fails before.
-    pub fn conclusive_at_ms(&self) -> Option<u64> {
-        self.well_since_ms.map(|since_ms| since_ms + RETURN_MS)
-    }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope, assembly::Assembly,
+    recovery::Recovery,
 };
 
 /// The number that decides which host of a domain reads.
@@ -35,8 +36,6 @@
     pub listed: Vec<(u64, Record)>,
     /// What is no longer listed, each with the revision as of which it is not.
     pub removed: Vec<(u64, Key)>,
-    /// What absence means.
-    pub listing: Listing,
     /// The moment for which the reading holds, by the steady clock.
     pub proven_at_ms: u64,
 }
@@ -61,6 +60,7 @@
     role: Role,
     next_heartbeat_ms: u64,
     assembly: Option<Assembly>,
+    recovery: Recovery,
     gone: Vec<(u64, Key)>,
     rng: StdRng,
 }
@@ -82,6 +82,7 @@
             role: Role::Listener,
             next_heartbeat_ms: 0,
             assembly: None,
+            recovery: Recovery::default(),
             gone: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
         }
@@ -122,7 +123,9 @@
 
     /// Takes over what this host read from the store and gives the messages that spread it.
     pub fn on_changes(&mut self, changes: Changes, now_ms: u64) -> Vec<Outgoing> {
-        let Changes { revision, listed, removed, listing, proven_at_ms } = changes;
+        let Changes { revision, listed, removed, proven_at_ms } = changes;
+        self.recovery.on_answer(now_ms);
+        let listing = self.recovery.listing(now_ms);
         let after = self.catalog.revision();
         let mut news = Vec::new();
         for (revision, record) in listed {
@@ -145,13 +148,9 @@
         self.push(after, news, now_ms)
     }
 
-    /// Takes records that lapsed for gone, once the store has been well for long enough.
-    pub fn settle(&mut self, now_ms: u64) -> Vec<Outgoing> {
-        let revision = self.catalog.revision();
-        let is_lapsed = |row: &Row| row.presence == Presence::Lapsed;
-        let news = self.catalog.mark_absent(revision, Listing::Conclusive, is_lapsed);
-        self.note_gone(&news, now_ms);
-        if news.is_empty() { Vec::new() } else { self.push(revision, news, now_ms) }
+    /// A call of this host to the store failed.
+    pub fn on_store_failure(&mut self) {
+        self.recovery.on_failure();
     }
 
     /// Handles a message of the host `sender` at `from`.
@@ -174,6 +173,11 @@
         self.forget_gone(now_ms);
         let mut out = self.ask_if_stale(now_ms);
         self.role = self.decide_role(now_ms);
+        if self.role == Role::Listener {
+            // What a host that does not read saw of the store some time ago proves nothing.
+            self.recovery.on_failure();
+        }
+        out.extend(self.settle(now_ms));
         if self.role == Role::Reader && now_ms >= self.next_heartbeat_ms {
             self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
             out.extend(self.send_heartbeats(now_ms));
@@ -190,6 +194,18 @@
         }
     }
 
+    /// Takes targets that lapsed for gone, once the store has been well for long enough.
+    fn settle(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        if self.recovery.listing(now_ms) == Listing::Provisional {
+            return Vec::new();
+        }
+        let revision = self.catalog.revision();
+        let is_lapsed = |row: &Row| row.presence == Presence::Lapsed;
+        let news = self.catalog.mark_absent(revision, Listing::Conclusive, is_lapsed);
+        self.note_gone(&news, now_ms);
+        if news.is_empty() { Vec::new() } else { self.push(revision, news, now_ms) }
+    }
+
     fn confirm(&mut self, at_ms: u64) {
         self.confirmed_at_ms = self.confirmed_at_ms.max(Some(at_ms));
     }
@@ -226,7 +242,7 @@
             return vec![Outgoing { to: from, message: Message::Pull(self.pull(Scope::Changes)) }];
         }
         self.catalog.advance(heartbeat.revision);
-        let at_ms = now_ms.saturating_sub(heartbeat.age_ms);
+        let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.transit_ms);
         self.told_at_ms = self.told_at_ms.max(Some(at_ms));
         self.confirm(at_ms);
         let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
@@ -263,7 +279,10 @@
         let news: Vec<Row> =
             batch.rows.iter().filter(|row| self.catalog.merge((*row).clone())).cloned().collect();
         if !news.is_empty() && root != HostId(0) {
-            out.extend(self.send_down(root, &Message::Rows(batch.clone())));
+            let age_ms = batch.heartbeat.age_ms + self.config.transit_ms;
+            let heartbeat = Heartbeat { age_ms, ..batch.heartbeat };
+            let next = RowBatch { heartbeat, ..batch.clone() };
+            out.extend(self.send_down(root, &Message::Rows(next)));
         }
         self.note_gone(&news, now_ms);
         if !self.is_complete(sender, &batch) {
--- /dev/null
+++ b/crates/relay/tests/store_outage.rs
@@ -0,0 +1,57 @@
+//! Announcements that lapse while the store is away.
+
+mod support;
+
+use catalog::Presence;
+use support::{Fleet, Store};
+
+fn settled_fleet(hosts: usize) -> Fleet {
+    let mut fleet = Fleet::new(hosts, 3, 7);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(6_000, |_| {});
+    fleet
+}
+
+#[test]
+fn lapsed_then_back() {
+    let mut fleet = settled_fleet(9);
+    fleet.store = Store::Down;
+    fleet.run(3_000, |_| {});
+    // All announcements lapse meanwhile and come back within two seconds of the return.
+    (1..=5).for_each(|id| fleet.remove(id));
+    fleet.store = Store::Well;
+    let never_gone = |fleet: &Fleet| {
+        for index in 0..fleet.len() {
+            for id in 1..=5 {
+                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
+            }
+        }
+    };
+    fleet.run(1_900, never_gone);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(5_000, never_gone);
+}
+
+#[test]
+fn lapsed_for_good() {
+    let mut fleet = settled_fleet(9);
+    fleet.store = Store::Down;
+    fleet.run(3_000, |_| {});
+    fleet.remove(4);
+    fleet.store = Store::Well;
+    fleet.run(4_500, |_| {});
+    for index in 0..fleet.len() {
+        assert_eq!(fleet.presence(index, 4), Some(Presence::Gone), "host {index}");
+        assert_eq!(fleet.presence(index, 3), Some(Presence::Listed), "host {index}");
+    }
+}
+
+#[test]
+fn few_calls() {
+    let mut fleet = settled_fleet(30);
+    let before = fleet.reads;
+    fleet.store = Store::Down;
+    fleet.run(10_000, |_| {});
+    // At most three hosts of each of the three failure domains try, each twice a second.
+    assert!(fleet.reads - before <= 3 * 3 * 20 + 9, "{} reads", fleet.reads - before);
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,248 @@
+//! A store that is told what to answer, and hosts on a network that loses, delays and cuts.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+
+use catalog::{Key, Presence, Record, Stage, Target, TargetId};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use relay::{Changes, Config, Message, Outgoing, Peer, Relay, Role};
+use routing::HostId;
+
+/// How long time advances at a step, in milliseconds.
+const STEP_MS: u64 = 20;
+
+/// How long a message is on its way at most, in milliseconds.
+const DELAY_MS: u64 = 60;
+
+/// How often a reader reads, in milliseconds.
+const READ_MS: u64 = 500;
+
+/// The target with this number.
+pub fn target(id: u64) -> Record {
+    Record::Target(Target {
+        id: TargetId(id),
+        service_seed: 1,
+        address: std::net::SocketAddrV4::new([10, 0, 0, 1].into(), id as u16),
+        domain_seed: 1,
+        slots: 3,
+        stage: Stage::Ready,
+        warmup_ms: 0,
+        started_at_ms: 0,
+    })
+}
+
+/// Whether the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Store {
+    Well,
+    Down,
+}
+
+struct Host {
+    id: HostId,
+    domain_seed: u64,
+    relay: Relay,
+    next_read_ms: u64,
+    is_paused: bool,
+}
+
+struct Flight {
+    due_ms: u64,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+/// The hosts of all failure domains.
+pub struct Fleet {
+    hosts: Vec<Host>,
+    flights: Vec<Flight>,
+    rng: StdRng,
+    /// Hosts in different groups do not reach each other.
+    pub groups: Vec<u32>,
+    /// How many of 100 messages are lost.
+    pub loss_percent: u32,
+    pub store: Store,
+    listed: Vec<(u64, Record)>,
+    pub revision: u64,
+    pub now_ms: u64,
+    /// How many times any host read the store.
+    pub reads: usize,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))
+}
+
+impl Fleet {
+    /// `hosts` hosts, dealt to `domains` failure domains.
+    pub fn new(hosts: usize, domains: u64, seed: u64) -> Fleet {
+        let peers: Vec<Peer> = (0..hosts)
+            .map(|index| Peer {
+                id: HostId::from_address(address(index)),
+                address: address(index),
+                domain_seed: index as u64 % domains,
+            })
+            .collect();
+        let hosts = peers
+            .iter()
+            .map(|me| {
+                let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
+                let mut relay = Relay::new(config, me.id, me.domain_seed, 0, me.id.0 ^ seed);
+                relay.set_peers(peers.iter().filter(|peer| peer.id != me.id).copied().collect());
+                Host {
+                    id: me.id,
+                    domain_seed: me.domain_seed,
+                    relay,
+                    next_read_ms: 0,
+                    is_paused: false,
+                }
+            })
+            .collect::<Vec<Host>>();
+        Fleet {
+            groups: vec![0; hosts.len()],
+            hosts,
+            flights: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            loss_percent: 0,
+            store: Store::Well,
+            listed: Vec::new(),
+            revision: 1,
+            now_ms: 0,
+            reads: 0,
+        }
+    }
+
+    /// Writes the announcement of a target.
+    pub fn announce(&mut self, id: u64) {
+        self.revision += 1;
+        self.listed.retain(|entry| entry.1.key() != Key::Target(TargetId(id)));
+        self.listed.push((self.revision, target(id)));
+    }
+
+    /// Removes the announcement of a target.
+    pub fn remove(&mut self, id: u64) {
+        self.revision += 1;
+        self.listed.retain(|entry| entry.1.key() != Key::Target(TargetId(id)));
+    }
+
+    /// Stops a host from doing anything, or lets it go on.
+    pub fn pause(&mut self, index: usize, is_paused: bool) {
+        self.hosts[index].is_paused = is_paused;
+    }
+
+    /// The hosts that read the store.
+    pub fn readers(&self) -> Vec<usize> {
+        let is_reader = |index: &usize| self.hosts[*index].relay.role() == Role::Reader;
+        (0..self.hosts.len()).filter(is_reader).collect()
+    }
+
+    /// The failure domain of a host.
+    pub fn domain(&self, index: usize) -> u64 {
+        self.hosts[index].domain_seed
+    }
+
+    /// How many hosts there are.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// The relay of a host.
+    pub fn relay(&self, index: usize) -> &Relay {
+        &self.hosts[index].relay
+    }
+
+    /// What a host knows of a target.
+    pub fn presence(&self, index: usize, id: u64) -> Option<Presence> {
+        let catalog = self.hosts[index].relay.catalog();
+        catalog.get(Key::Target(TargetId(id))).map(|row| row.presence)
+    }
+
+    /// Lets `duration_ms` pass; `observe` sees every step.
+    pub fn run(&mut self, duration_ms: u64, mut observe: impl FnMut(&Fleet)) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            self.deliver();
+            for index in 0..self.hosts.len() {
+                self.step(index);
+            }
+            observe(self);
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[index];
+        if host.is_paused {
+            return;
+        }
+        let mut out = host.relay.tick(now_ms);
+        if host.relay.role() == Role::Reader && now_ms >= host.next_read_ms {
+            host.next_read_ms = now_ms + READ_MS;
+            self.reads += 1;
+            match self.store {
+                Store::Down => host.relay.on_store_failure(),
+                Store::Well => {
+                    let removed = host
+                        .relay
+                        .catalog()
+                        .rows()
+                        .iter()
+                        .map(|row| row.record.key())
+                        .filter(|key| self.listed.iter().all(|entry| entry.1.key() != *key))
+                        .map(|key| (self.revision, key))
+                        .collect();
+                    let changes = Changes {
+                        revision: self.revision,
+                        listed: self.listed.clone(),
+                        removed,
+                        proven_at_ms: now_ms,
+                    };
+                    out.extend(host.relay.on_changes(changes, now_ms));
+                }
+            }
+        }
+        self.post(index, out);
+    }
+
+    fn post(&mut self, from: usize, out: Vec<Outgoing>) {
+        for outgoing in out {
+            let Some(to) = (0..self.hosts.len()).find(|index| address(*index) == outgoing.to)
+            else {
+                continue;
+            };
+            let is_lost = self.rng.random_range(0..100) < self.loss_percent;
+            if is_lost || self.groups[from] != self.groups[to] {
+                continue;
+            }
+            let copies = if self.rng.random_range(0..20) == 0 { 2 } else { 1 };
+            for _ in 0..copies {
+                let due_ms = self.now_ms + self.rng.random_range(1..DELAY_MS);
+                let message = outgoing.message.clone();
+                self.flights.push(Flight { due_ms, from, to, message });
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, rest): (Vec<Flight>, Vec<Flight>) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|flight| flight.due_ms <= now_ms);
+        self.flights = rest;
+        for flight in due {
+            if self.hosts[flight.to].is_paused {
+                continue;
+            }
+            let sender = self.hosts[flight.from].id;
+            let out = self.hosts[flight.to].relay.on_message(
+                address(flight.from),
+                sender,
+                flight.message,
+                now_ms,
+            );
+            self.post(flight.to, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/views.rs
@@ -0,0 +1,119 @@
+//! Views under lost, late, doubled and reordered messages, cuts and pauses.
+
+mod support;
+
+use catalog::Presence;
+use proptest::{prelude::*, test_runner::RngSeed};
+use support::Fleet;
+
+#[test]
+fn one_reader_each() {
+    let mut fleet = Fleet::new(12, 3, 1);
+    fleet.announce(1);
+    fleet.run(5_000, |_| {});
+    let readers = fleet.readers();
+    let mut domains: Vec<u64> = readers.iter().map(|index| fleet.domain(*index)).collect();
+    domains.sort_unstable();
+    assert_eq!(domains, [0, 1, 2], "one reader a failure domain, not {readers:?}");
+}
+
+#[test]
+fn paused_readers() {
+    let mut fleet = Fleet::new(12, 3, 2);
+    fleet.announce(1);
+    fleet.run(5_000, |_| {});
+    for reader in fleet.readers() {
+        fleet.pause(reader, true);
+    }
+    let paused: Vec<usize> = fleet.readers();
+    fleet.announce(2);
+    // Settings have to be in force within 3 s, whoever falls silent.
+    fleet.run(3_000, |_| {});
+    for index in (0..fleet.len()).filter(|index| !paused.contains(index)) {
+        assert_eq!(fleet.presence(index, 2), Some(Presence::Listed), "host {index}");
+    }
+}
+
+#[test]
+fn lone_host() {
+    let mut fleet = Fleet::new(12, 3, 3);
+    fleet.announce(1);
+    fleet.run(5_000, |_| {});
+    // A host that nobody reaches reads the store itself.
+    let lone = (0..fleet.len()).find(|index| !fleet.readers().contains(index)).expect("12 hosts");
+    fleet.groups[lone] = 1;
+    fleet.run(500, |_| {});
+    fleet.announce(2);
+    fleet.run(3_000, |_| {});
+    assert_eq!(fleet.presence(lone, 2), Some(Presence::Listed));
+}
+
+fn check(seed: u64, loss_percent: u32, steps: &[u8]) -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new(8, 2, seed);
+    fleet.loss_percent = loss_percent;
+    let mut revisions = vec![0; fleet.len()];
+    // What the store held since when: a view that claims to be current must not lack it.
+    let mut written: Vec<(u64, u64)> = Vec::new();
+    for step in steps {
+        match step % 6 {
+            0 | 1 => fleet.announce(u64::from(*step) % 5 + 1),
+            2 => fleet.remove(u64::from(*step) % 5 + 1),
+            3 => {
+                let host = usize::from(*step) % fleet.len();
+                fleet.groups[host] ^= 1;
+            }
+            4 => fleet.pause(usize::from(*step) % 8, true),
+            _ => (0..8).for_each(|index| fleet.pause(index, false)),
+        }
+        written.push((fleet.now_ms, fleet.revision));
+        let mut failure = None;
+        fleet.run(u64::from(*step) * 8 + 40, |fleet| {
+            for index in 0..fleet.len() {
+                let relay = fleet.relay(index);
+                let revision = relay.catalog().revision();
+                if revision < revisions[index] {
+                    failure = Some(format!("host {index} went back to revision {revision}"));
+                }
+                revisions[index] = revision;
+                let Some(confirmed_at_ms) = relay.confirmed_at_ms() else { continue };
+                let newest = written.iter().filter(|write| write.0 < confirmed_at_ms).map(|w| w.1);
+                if newest.max().is_some_and(|newest| revision < newest) {
+                    failure = Some(format!(
+                        "at {} host {index} claims that revision {revision} was current at \
+                         {confirmed_at_ms}; writes: {written:?}",
+                        fleet.now_ms
+                    ));
+                }
+            }
+        });
+        prop_assert!(failure.is_none(), "{failure:?}");
+    }
+    fleet.loss_percent = 0;
+    fleet.groups = vec![0; fleet.len()];
+    (0..8).for_each(|index| fleet.pause(index, false));
+    fleet.run(8_000, |_| {});
+    let first = fleet.relay(0).catalog();
+    for index in 1..fleet.len() {
+        let other = fleet.relay(index).catalog();
+        prop_assert_eq!(first.digest(), other.digest(), "host {}", index);
+        prop_assert_eq!(first.revision(), other.revision(), "host {}", index);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn never_back(
+        seed in any::<u64>(),
+        loss_percent in 0..30u32,
+        steps in prop::collection::vec(any::<u8>(), 1..14),
+    ) {
+        check(seed, loss_percent, &steps)?;
+    }
+}
--- a/crates/tagged/src/choice.rs
+++ b/crates/tagged/src/choice.rs
@@ -13,6 +13,23 @@
 /// failure domains cost and a cut breaks their flows.
 const SPILL_RATIO: f64 = 0.3;
 
+/// Why a target is chosen only if there is no better one, the least reason first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Doubt {
+    /// There is none.
+    None,
+    /// A target of its failure domain did not answer an earlier opening of this flow.
+    DomainTried,
+    /// Several targets of its failure domain are silent, as in a cut.
+    DomainSilent,
+    /// It is suspected.
+    Suspect,
+    /// It failed a check.
+    Dead,
+    /// It did not answer an earlier opening of this flow.
+    Tried,
+}
+
 /// A target that may take the flow.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -20,14 +37,18 @@
     pub index: TargetIndex,
     /// Whether it is in the host's own failure domain.
     pub is_near: bool,
+    /// What speaks against it.
+    pub doubt: Doubt,
     /// Its flows for each of its slots, those with a request under way counted more.
     pub load: f64,
 }
 
-/// The candidate with the least load, by `ties` among equals.
+/// The candidate with the least load among those with the least doubt, by `ties` among equals.
 pub fn choose(candidates: &[Candidate], ties: u64) -> Option<TargetIndex> {
-    let near = least(candidates.iter().filter(|candidate| candidate.is_near), ties);
-    let any = least(candidates.iter(), ties)?;
+    let doubt = candidates.iter().map(|candidate| candidate.doubt).min()?;
+    let best = || candidates.iter().filter(|candidate| candidate.doubt == doubt);
+    let near = least(best().filter(|candidate| candidate.is_near), ties);
+    let any = least(best(), ties)?;
     let bound = any.load * (1.0 + SPILL_RATIO) + SPILL_FLOWS_PER_SLOT;
     match near {
         Some(near) if near.load <= bound => Some(near.index),
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -64,6 +64,11 @@
         dead.map(|record| record.target)
     }
 
+    /// Whether `target` has answered something since `since_ms`.
+    pub fn is_heard_since(&self, target: TargetId, since_ms: u64) -> bool {
+        self.find(target).is_some_and(|record| record.progress_at_ms >= since_ms)
+    }
+
     /// The evidence against `target`: openings without an answer and flows without progress.
     pub fn evidence(&self, target: TargetId) -> (u32, u32) {
         self.find(target).map_or((0, 0), |record| (record.failed_openings, record.stalled_flows))
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -24,7 +24,7 @@
 mod unknown;
 
 pub use crate::{
-    choice::{Candidate, choose},
+    choice::{Candidate, Doubt, choose},
     config::Config,
     counters::{Counter, Counters},
     event::{Event, Reason},
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    Candidate, CheckVerdict, Config, Counter, Counters, Event, Health, HostLoad, LoadBoard, Reason,
-    Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
+    Candidate, CheckVerdict, Config, Counter, Counters, Doubt, Event, Health, HostLoad, LoadBoard,
+    Reason, Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
     flows::{FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
@@ -23,6 +23,9 @@
 /// How much fuller a target counts while it is slow after its start.
 const WARMUP_FACTOR: f64 = 1.6;
 
+/// How many silent targets make their whole failure domain doubtful.
+const SILENT_TARGETS: usize = 2;
+
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
@@ -335,18 +338,62 @@
     ) -> Option<TargetIndex> {
         let service_seed = self.draw_service(listener)?;
         let ties = self.rng.random();
-        let mut candidates = self.candidates(view, service_seed, now_ms);
-        let untried: Vec<Candidate> = candidates
+        let tried_domains: Vec<u64> = tried
             .iter()
-            .filter(|candidate| !tried.contains(&view.directory.target(candidate.index).id))
-            .copied()
+            .filter_map(|target| view.directory.find_target(*target))
+            .map(|index| view.directory.target(index).domain_seed)
+            .collect();
+        let silent_domains = self.silent_domains(view, now_ms);
+        let candidates: Vec<Candidate> = view
+            .directory
+            .open_targets(service_seed)
+            .map(|index| {
+                let target = view.directory.target(index);
+                let is_near = target.domain_seed == self.config.domain_seed;
+                let doubt = match self.health.standing(target.id) {
+                    _ if tried.contains(&target.id) => Doubt::Tried,
+                    Standing::Dead => Doubt::Dead,
+                    Standing::Suspect => Doubt::Suspect,
+                    Standing::Good if silent_domains.contains(&target.domain_seed) => {
+                        Doubt::DomainSilent
+                    }
+                    Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
+                        Doubt::DomainTried
+                    }
+                    Standing::Good => Doubt::None,
+                };
+                let load = self.load(target.id, target.slots, now_ms);
+                Candidate { index, is_near, doubt, load }
+            })
             .collect();
-        if !untried.is_empty() {
-            candidates = untried;
-        }
         choose(&candidates, ties)
     }
 
+    /// The other failure domains of which several targets are silent and none is heard: cut off from
+    /// this host.
+    fn silent_domains(&self, view: View<'_>, now_ms: u64) -> Vec<u64> {
+        let since_ms = now_ms.saturating_sub(self.config.heard_ms);
+        let mut silent: Vec<u64> = Vec::new();
+        let mut heard: Vec<u64> = Vec::new();
+        for position in 0..view.directory.target_count() {
+            let target = view.directory.target(TargetIndex(position));
+            if target.domain_seed == self.config.domain_seed {
+                continue;
+            }
+            if self.health.is_heard_since(target.id, since_ms) {
+                heard.push(target.domain_seed);
+            } else if self.health.standing(target.id) != Standing::Good {
+                silent.push(target.domain_seed);
+            }
+        }
+        silent.sort_unstable();
+        let several = silent.chunk_by(|left, right| left == right);
+        several
+            .filter(|domain| domain.len() >= SILENT_TARGETS && !heard.contains(&domain[0]))
+            .map(|domain| domain[0])
+            .collect()
+    }
+
     fn draw_service(&mut self, listener: &Listener) -> Option<u64> {
         let total: u32 = listener.shares.iter().map(|share| share.weight).sum();
         if total == 0 {
@@ -362,22 +409,6 @@
         None
     }
 
-    /// The targets that may take a flow; suspected ones only if there is no other.
-    fn candidates(&self, view: View<'_>, service_seed: u64, now_ms: u64) -> Vec<Candidate> {
-        let all: Vec<(Standing, Candidate)> = view
-            .directory
-            .open_targets(service_seed)
-            .map(|index| {
-                let target = view.directory.target(index);
-                let is_near = target.domain_seed == self.config.domain_seed;
-                let load = self.load(target.id, target.slots, now_ms);
-                (self.health.standing(target.id), Candidate { index, is_near, load })
-            })
-            .collect();
-        let best = all.iter().map(|entry| entry.0 as u8).min().unwrap_or(0);
-        all.iter().filter(|entry| entry.0 as u8 == best).map(|entry| entry.1).collect()
-    }
-
     /// The flows for each slot of `target`, as all hosts see them.
     fn load(&self, target: TargetId, slots: u16, now_ms: u64) -> f64 {
         let own = self.own.get(&target).copied().unwrap_or_default();
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -67,3 +67,22 @@
     // One opening without an answer may be a lost packet, two at one target are not.
     assert!(host.traffic.take_due_checks(host.now_ms).len() <= silent.len());
 }
+
+#[test]
+fn cut_domain() {
+    let mut host = Host::new(&[(1, FAR), (2, FAR), (3, FAR), (4, NEAR)]);
+    // The near target is full, so openings go to the other failure domain, which has been cut off.
+    for caller in 0..100 {
+        host.open(caller, 0);
+    }
+    let mut far = None;
+    for caller in 100..200 {
+        if host.open(caller, 0).0.0 != 4 {
+            far = Some(caller);
+            break;
+        }
+    }
+    let caller = far.expect("a full failure domain spills over");
+    host.now_ms += 200;
+    assert_eq!(host.open(caller, 1).0.0, 4, "the next try avoids the failure domain");
+}
