Let one host read the store for all failure domains

Now the first host in order reads; changes and heartbeats go down the tree of its own domain and, by the first host of each other domain, down theirs; the others follow in order when what they hear gets old (tests one_reader, cut_domains, paused_readers, lone_host, few_calls). A heartbeat names the reader that its age counts from: without it a reader took what its own hosts repeated for another's reading.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -16,7 +16,8 @@
     /// How long a host that knows nothing gives others to answer before it reads the store: a few
     /// round trips, since callers wait for it.
     pub newcomer_ms: u64,
-    /// By how much each further host of a domain waits longer before it reads as well.
+    /// By how much each further host waits longer before it reads as well; a reading and its push
+    /// take less.
     pub rank_step_ms: u64,
     /// How many hosts a host passes a push on to.
     pub fanout: usize,
@@ -36,7 +37,7 @@
             transit_ms: 80,
             answer_ms: 200,
             newcomer_ms: 10,
-            rank_step_ms: 300,
+            rank_step_ms: 130,
             fanout: 16,
             asked: 3,
             rows_per_batch: 64,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,9 +1,9 @@
 //! How all hosts come to hold the current catalog while few of them read the store.
 //!
-//! One host of each failure domain, the reader, follows the store. It pushes changes and heartbeats
-//! down a tree of the domain's hosts, and exchanges heartbeats with the readers of other domains. A
-//! host whose catalog has not been confirmed as current for a while asks others, and then reads the
-//! store itself.
+//! One host, the reader, follows the store. It pushes changes and heartbeats down a tree of the hosts
+//! of its failure domain, and to the first host of each other domain, which passes them down the tree
+//! of its own. A host whose catalog has not been confirmed as current for a while asks others, and
+//! then reads the store itself: the first of each domain, the second of each, and so on.
 //!
 //! This crate does no I/O and has no clock: messages, readings and a steady time go in, messages
 //! come out. Who is alive is decided elsewhere (see `membership`).
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -27,6 +27,8 @@
     pub digest: Digest,
     /// How long ago the catalog was known to be current, in milliseconds.
     pub age_ms: u64,
+    /// The host whose reading of the store the age is counted from.
+    pub reader: HostId,
 }
 
 /// Which rows are asked for.
@@ -77,6 +79,18 @@
     Rows(RowBatch),
 }
 
+impl Message {
+    /// The same message for the tree of `root`.
+    pub(crate) fn with_root(mut self, root: HostId) -> Message {
+        match &mut self {
+            Message::Heartbeat(heartbeat) => heartbeat.root = root,
+            Message::Rows(batch) => batch.heartbeat.root = root,
+            Message::Pull(_) => {}
+        }
+        self
+    }
+}
+
 /// A message to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outgoing {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,12 +11,12 @@
     recovery::Recovery,
 };
 
-/// The number that decides which host of a domain reads.
+/// The number that decides which host reads first.
 const READER_SEED: u64 = 0x7265_6164_6572_7321;
 
-/// How many hosts of a domain read at the same time while the store fails and they hear of each
-/// other; more would only add calls.
-const FAILING_READERS_MAX: usize = 3;
+/// How many hosts read at the same time while the store fails and they hear of each other. The store
+/// may turn a third of the hosts away; more readers than this would only add calls.
+const FAILING_READERS_MAX: usize = 8;
 
 /// Whether a host reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,10 +48,13 @@
     domain_seed: u64,
     catalog: Catalog,
     peers: Vec<Peer>,
-    /// When the catalog was last known to be current, by anyone.
+    /// When the catalog was last known to be current, and the host that read it then.
     confirmed_at_ms: Option<u64>,
-    /// The same, as others told.
+    confirmed_by: HostId,
+    /// The same, as others told of readings that are not this host's.
     told_at_ms: Option<u64>,
+    /// The reader that this was heard of.
+    told_by: HostId,
     /// When the host started to listen.
     started_at_ms: u64,
     /// When others were last asked, and when one of them last told anything.
@@ -75,7 +78,9 @@
             catalog: Catalog::default(),
             peers: Vec::new(),
             confirmed_at_ms: None,
+            confirmed_by: me,
             told_at_ms: None,
+            told_by: me,
             started_at_ms: now_ms,
             asked_at_ms: None,
             heard_at_ms: None,
@@ -109,13 +114,6 @@
         self.peers = peers;
     }
 
-    /// Notes that the process was paused for `gap_ms` of which the steady clock shows nothing.
-    pub fn on_pause(&mut self, gap_ms: u64) {
-        for moment in [&mut self.confirmed_at_ms, &mut self.told_at_ms] {
-            *moment = moment.and_then(|at_ms| at_ms.checked_sub(gap_ms));
-        }
-    }
-
     /// Asks `address` for what it has, before any host is known.
     pub fn ask(&self, address: SocketAddr) -> Outgoing {
         Outgoing { to: address, message: Message::Pull(self.pull(Scope::Changes)) }
@@ -139,7 +137,7 @@
             news.extend(self.catalog.mark_absent(revision, listing, is_removed));
         }
         self.catalog.advance(revision);
-        self.confirm(proven_at_ms);
+        self.confirm(proven_at_ms, self.me);
         self.note_gone(&news, now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         if news.is_empty() {
@@ -185,15 +183,6 @@
         out
     }
 
-    /// When [`Relay::tick`] has something to do next.
-    pub fn next_tick_ms(&self, now_ms: u64) -> u64 {
-        let period_ms = self.config.answer_ms;
-        match self.role {
-            Role::Reader => self.next_heartbeat_ms.min(now_ms + period_ms),
-            Role::Listener => now_ms + period_ms,
-        }
-    }
-
     /// Takes targets that lapsed for gone, once the store has been well for long enough.
     fn settle(&mut self, now_ms: u64) -> Vec<Outgoing> {
         if self.recovery.listing(now_ms) == Listing::Provisional {
@@ -206,8 +195,11 @@
         if news.is_empty() { Vec::new() } else { self.push(revision, news, now_ms) }
     }
 
-    fn confirm(&mut self, at_ms: u64) {
-        self.confirmed_at_ms = self.confirmed_at_ms.max(Some(at_ms));
+    fn confirm(&mut self, at_ms: u64, reader: HostId) {
+        if self.confirmed_at_ms < Some(at_ms) {
+            self.confirmed_at_ms = Some(at_ms);
+            self.confirmed_by = reader;
+        }
     }
 
     fn heartbeat(&self, root: HostId, now_ms: u64) -> Option<Heartbeat> {
@@ -217,6 +209,7 @@
             revision: self.catalog.revision(),
             digest: self.catalog.digest(),
             age_ms: now_ms.saturating_sub(confirmed_at_ms),
+            reader: self.confirmed_by,
         })
     }
 
@@ -243,8 +236,11 @@
         }
         self.catalog.advance(heartbeat.revision);
         let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.transit_ms);
-        self.told_at_ms = self.told_at_ms.max(Some(at_ms));
-        self.confirm(at_ms);
+        if heartbeat.reader != self.me && self.told_at_ms < Some(at_ms) {
+            self.told_at_ms = Some(at_ms);
+            self.told_by = heartbeat.reader;
+        }
+        self.confirm(at_ms, heartbeat.reader);
         let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
         self.send_down(heartbeat.root, &Message::Heartbeat(next))
     }
@@ -320,8 +316,8 @@
     fn push(&self, after: u64, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
         let Some(heartbeat) = self.heartbeat(self.me, now_ms) else { return Vec::new() };
         self.batches(heartbeat, Scope::Changes, after, &rows)
-            .iter()
-            .flat_map(|message| self.send_down(self.me, message))
+            .into_iter()
+            .flat_map(|message| self.send_out(message))
             .collect()
     }
 
@@ -375,23 +371,29 @@
         members
     }
 
-    /// Heartbeats for this domain and for the readers of the others.
     fn send_heartbeats(&self, now_ms: u64) -> Vec<Outgoing> {
-        let Some(heartbeat) = self.heartbeat(self.me, now_ms) else { return Vec::new() };
-        let mut out = self.send_down(self.me, &Message::Heartbeat(heartbeat));
-        let message = Message::Heartbeat(Heartbeat { root: HostId(0), ..heartbeat });
-        let readers = self.other_readers();
-        out.extend(readers.into_iter().map(|to| Outgoing { to, message: message.clone() }));
+        let heartbeat = self.heartbeat(self.me, now_ms);
+        heartbeat.map_or(Vec::new(), |heartbeat| self.send_out(Message::Heartbeat(heartbeat)))
+    }
+
+    /// The message of this host for its own domain, and for the leader of each other one, which
+    /// passes it down the tree of its domain.
+    fn send_out(&self, message: Message) -> Vec<Outgoing> {
+        let mut out = self.send_down(self.me, &message);
+        for leader in self.other_leaders() {
+            let message = message.clone().with_root(leader.id);
+            out.push(Outgoing { to: leader.address, message });
+        }
         out
     }
 
-    /// The first reader of each other domain.
-    fn other_readers(&self) -> Vec<SocketAddr> {
+    /// The first host of each other domain.
+    fn other_leaders(&self) -> Vec<&Peer> {
         let mut others: Vec<&Peer> =
             self.peers.iter().filter(|peer| peer.domain_seed != self.domain_seed).collect();
-        others.sort_by_key(|peer| (peer.domain_seed, std::cmp::Reverse(rank_score(peer.id))));
+        others.sort_by_key(|peer| (peer.domain_seed, std::cmp::Reverse(rank_score(peer.id.0))));
         others.dedup_by_key(|peer| peer.domain_seed);
-        others.iter().map(|peer| peer.address).collect()
+        others
     }
 
     fn ask_if_stale(&mut self, now_ms: u64) -> Vec<Outgoing> {
@@ -423,6 +425,8 @@
         let told_age_ms = self.age_ms(self.told_at_ms, now_ms);
         let is_reader = match rank {
             0 => true,
+            // Of two readers the one that is to read before the other goes on.
+            _ if self.role == Role::Reader && !self.is_told_by_earlier(rank) => true,
             _ if told_age_ms < self.config.fresh_ms => false,
             // Nobody tells anything: this host is alone and has to read by itself.
             _ if !self.is_heard(now_ms) => true,
@@ -450,13 +454,33 @@
         }
     }
 
-    /// How many hosts of this domain are to read before this one.
+    /// How many hosts are to read before this one: the first of each domain, then the second of
+    /// each, and so on.
     fn rank(&self) -> usize {
-        let mine = rank_score(self.me);
-        self.peers
-            .iter()
-            .filter(|peer| peer.domain_seed == self.domain_seed && rank_score(peer.id) > mine)
-            .count()
+        self.rank_of(self.me, self.domain_seed)
+    }
+
+    fn rank_of(&self, id: HostId, domain_seed: u64) -> usize {
+        let own = (self.me, self.domain_seed);
+        let hosts = || {
+            let peers = self.peers.iter().map(|peer| (peer.id, peer.domain_seed));
+            peers.chain(std::iter::once(own))
+        };
+        let score = rank_score(id.0);
+        let ahead =
+            hosts().filter(|host| host.1 == domain_seed && rank_score(host.0.0) > score).count();
+        let mut domains: Vec<u64> = hosts().map(|host| host.1).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let order = rank_score(domain_seed);
+        let before = domains.iter().filter(|domain| rank_score(**domain) > order).count();
+        ahead * domains.len() + before
+    }
+
+    /// Whether what others told lately comes from a reader that is to read before this host.
+    fn is_told_by_earlier(&self, rank: usize) -> bool {
+        let reader = self.peers.iter().find(|peer| peer.id == self.told_by);
+        reader.is_some_and(|reader| self.rank_of(reader.id, reader.domain_seed) < rank)
     }
 
     fn note_gone(&mut self, news: &[Row], now_ms: u64) {
@@ -477,6 +501,6 @@
     }
 }
 
-fn rank_score(id: HostId) -> u64 {
-    score(READER_SEED, id.0)
+fn rank_score(number: u64) -> u64 {
+    score(READER_SEED, number)
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -70,6 +70,8 @@
   revision @1 :UInt64;
   digest   @2 :UInt64;
   ageMs    @3 :UInt64;
+  # The host whose reading of the store the age is counted from.
+  reader   @4 :UInt64;
 }
 
 # Asks for rows of the catalog.
--- a/crates/wire/src/catalog_rows.rs
+++ b/crates/wire/src/catalog_rows.rs
@@ -32,6 +32,7 @@
         revision: heartbeat.get_revision(),
         digest: Digest(heartbeat.get_digest()),
         age_ms: heartbeat.get_age_ms(),
+        reader: HostId(heartbeat.get_reader()),
     }
 }
 
@@ -64,6 +65,7 @@
     out.set_revision(heartbeat.revision);
     out.set_digest(heartbeat.digest.0);
     out.set_age_ms(heartbeat.age_ms);
+    out.set_reader(heartbeat.reader.0);
 }
 
 fn encode_batch(mut out: row_batch::Builder<'_>, batch: &RowBatch) {
