Fill a target that has just started little by little

Ruled out: reports that are too old; the hosts of one failure domain hear of each other after 200 ms.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -45,7 +45,7 @@
             domain_seed: shared.domain_seed,
             rack_seed: shared.domain_seed,
             incarnation: shared.incarnation,
-            state: MemberState::Ready,
+            state: MemberState::Joining,
         };
         let seed = shared.me.0 ^ shared.incarnation;
         // Only the choice of readers depends on who is alive, and a silent reader is replaced by
@@ -58,6 +58,8 @@
         };
         let mut membership = Membership::new(pace, me, seed);
         membership.set_seeds(&shared.settings.seeds());
+        // The change of state makes the host ask others for all members for a while.
+        membership.set_state(MemberState::Ready, now_ms);
         let config = relay::Config::default();
         Core {
             membership,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -53,8 +53,8 @@
     confirmed_by: HostId,
     /// The same, as others told of readings that are not this host's.
     told_at_ms: Option<u64>,
-    /// The reader that this was heard of.
-    told_by: HostId,
+    /// The same of readings by hosts that are to read before this one.
+    told_by_earlier_at_ms: Option<u64>,
     /// When the host started to listen.
     started_at_ms: u64,
     /// When others were last asked, and when one of them last told anything.
@@ -80,7 +80,7 @@
             confirmed_at_ms: None,
             confirmed_by: me,
             told_at_ms: None,
-            told_by: me,
+            told_by_earlier_at_ms: None,
             started_at_ms: now_ms,
             asked_at_ms: None,
             heard_at_ms: None,
@@ -236,9 +236,11 @@
         }
         self.catalog.advance(heartbeat.revision);
         let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.transit_ms);
-        if heartbeat.reader != self.me && self.told_at_ms < Some(at_ms) {
-            self.told_at_ms = Some(at_ms);
-            self.told_by = heartbeat.reader;
+        if heartbeat.reader != self.me {
+            self.told_at_ms = self.told_at_ms.max(Some(at_ms));
+        }
+        if self.reads_before_me(heartbeat.reader) {
+            self.told_by_earlier_at_ms = self.told_by_earlier_at_ms.max(Some(at_ms));
         }
         self.confirm(at_ms, heartbeat.reader);
         let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
@@ -426,7 +428,9 @@
         let is_reader = match rank {
             0 => true,
             // Of two readers the one that is to read before the other goes on.
-            _ if self.role == Role::Reader && !self.is_told_by_earlier(rank) => true,
+            _ if self.role == Role::Reader => {
+                self.age_ms(self.told_by_earlier_at_ms, now_ms) >= self.config.fresh_ms
+            }
             _ if told_age_ms < self.config.fresh_ms => false,
             // Nobody tells anything: this host is alone and has to read by itself.
             _ if !self.is_heard(now_ms) => true,
@@ -477,10 +481,9 @@
         ahead * domains.len() + before
     }
 
-    /// Whether what others told lately comes from a reader that is to read before this host.
-    fn is_told_by_earlier(&self, rank: usize) -> bool {
-        let reader = self.peers.iter().find(|peer| peer.id == self.told_by);
-        reader.is_some_and(|reader| self.rank_of(reader.id, reader.domain_seed) < rank)
+    fn reads_before_me(&self, reader: HostId) -> bool {
+        let peer = self.peers.iter().find(|peer| peer.id == reader);
+        peer.is_some_and(|peer| self.rank_of(peer.id, peer.domain_seed) < self.rank())
     }
 
     fn note_gone(&mut self, news: &[Row], now_ms: u64) {
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -20,7 +20,7 @@
 /// request under way about a tenth of the time.
 const BUSY_WEIGHT: f64 = 0.5;
 
-/// How much fuller a target counts while it is slow after its start.
+/// How much more each flow counts at a target that is slow after its start: by so much it is slower.
 const WARMUP_FACTOR: f64 = 1.6;
 
 /// How many silent targets make their whole failure domain doubtful.
@@ -57,7 +57,7 @@
     health: Health,
     others: LoadBoard,
     own: HashMap<TargetId, OwnLoad>,
-    warm_at_ms: HashMap<TargetId, u64>,
+    warmups: HashMap<TargetId, Warmup>,
     counters: Counters,
     events: Vec<Event>,
     events_left_out: u64,
@@ -68,6 +68,13 @@
     rng: StdRng,
 }
 
+/// For how long a target is slow after its start.
+#[derive(Debug, Clone, Copy)]
+struct Warmup {
+    ends_at_ms: u64,
+    total_ms: u32,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnLoad {
     flows: u32,
@@ -88,7 +95,7 @@
             health: Health::default(),
             others: LoadBoard::default(),
             own: HashMap::new(),
-            warm_at_ms: HashMap::new(),
+            warmups: HashMap::new(),
             counters: Counters::default(),
             events: Vec::new(),
             events_left_out: 0,
@@ -168,12 +175,13 @@
         for target in gone {
             self.reset_flows(target, Reason::TargetGone, directory.revision);
         }
-        self.warm_at_ms.retain(|target, _| directory.find_target(*target).is_some());
+        self.warmups.retain(|target, _| directory.find_target(*target).is_some());
         for position in 0..directory.target_count() {
             let target = directory.target(TargetIndex(position));
             if target.warmup_ms > 0 {
-                let warm_at_ms = now_ms + u64::from(target.warmup_ms);
-                self.warm_at_ms.entry(target.id).or_insert(warm_at_ms);
+                let total_ms = target.warmup_ms;
+                let ends_at_ms = now_ms + u64::from(total_ms);
+                self.warmups.entry(target.id).or_insert(Warmup { ends_at_ms, total_ms });
             }
         }
     }
@@ -365,10 +373,11 @@
                     }
                     Standing::Good => Doubt::None,
                 };
-                let load = self.load(target.id, target.slots, now_ms);
+                let load = self.load(target.id, target.slots);
                 Candidate { index, is_near, doubt, load }
             })
             .collect();
+        let candidates = self.ramp(view, candidates, now_ms);
         choose(&candidates, ties)
     }
 
@@ -412,15 +421,38 @@
         None
     }
 
+    /// Lets targets that are slow after their start take flows little by little.
+    ///
+    /// Load pattern: a target is replaced, its flows all open again within a second, and the new
+    /// target, which is empty and slow, would get them all. It counts as full as the others are on
+    /// average when it starts, and less and less so until it is warm.
+    fn ramp(&self, view: View<'_>, mut candidates: Vec<Candidate>, now_ms: u64) -> Vec<Candidate> {
+        let cold = |candidate: &Candidate| {
+            let warmup = self.warmups.get(&view.directory.target(candidate.index).id)?;
+            let left_ms = warmup.ends_at_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
+            Some(left_ms as f64 / f64::from(warmup.total_ms))
+        };
+        let warm: Vec<f64> = candidates
+            .iter()
+            .filter(|candidate| cold(candidate).is_none())
+            .map(|candidate| candidate.load)
+            .collect();
+        let mean = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
+        for candidate in &mut candidates {
+            if let Some(share) = cold(candidate) {
+                candidate.load = candidate.load * WARMUP_FACTOR + mean * share;
+            }
+        }
+        candidates
+    }
+
     /// The flows for each slot of `target`, as all hosts see them.
-    fn load(&self, target: TargetId, slots: u16, now_ms: u64) -> f64 {
+    fn load(&self, target: TargetId, slots: u16) -> f64 {
         let own = self.own.get(&target).copied().unwrap_or_default();
         let others = self.others.get(target);
         let flows = f64::from(own.flows + others.flows);
         let busy = f64::from(own.busy + others.busy);
-        let is_cold = self.warm_at_ms.get(&target).is_some_and(|warm_at_ms| now_ms < *warm_at_ms);
-        let factor = if is_cold { WARMUP_FACTOR } else { 1.0 };
-        factor * (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
+        (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
     }
 
     fn observe(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
