--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -27,8 +27,9 @@
 fn codes_listed() {
     let page = include_str!("../../../docs/RESULT-CODES.md");
     let mut codes: Vec<u16> = settings::Code::ALL.iter().map(|code| code.number()).collect();
-    codes.extend([121, 122, 123, 124, 131, 201, 202, 203, 301, 302, 303, 304]);
+    codes.extend([121, 122, 123, 124, 131, 201, 202, 203, 204, 205, 301, 302, 303, 304]);
     codes.extend(flow::DropReason::ALL.iter().map(|reason| reason.code()));
     codes.extend(501..=504);
+    codes.extend(tagged::Reason::ALL.iter().map(|reason| reason.code()));
     assert_eq!(listed(page), codes);
 }
--- /dev/null
+++ b/crates/wagtailstalld/tests/tagged_path.rs
@@ -0,0 +1,91 @@
+//! The whole path with tagged affinity: real hosts among stand-ins of the users' platform.
+
+use std::{path::Path, thread, time::Duration};
+
+use platform_stand_ins::{Bed, Layout, StoreMode, Tally};
+
+fn pause(duration_ms: u64) {
+    thread::sleep(Duration::from_millis(duration_ms));
+}
+
+/// Starts a bed of its own for the test `name`.
+fn bed(name: &str) -> Bed {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
+    Bed::start(program, &folder, Layout { hosts: 2, ..Layout::default() }).expect("the bed starts")
+}
+
+/// The requests of the next `duration_ms`.
+fn observe(bed: &Bed, duration_ms: u64) -> Tally {
+    bed.promises().take_tally();
+    pause(duration_ms);
+    bed.promises().take_tally()
+}
+
+/// Nearly all requests were answered; a datagram may be lost on a busy machine.
+fn check_served(tally: &Tally) {
+    assert!(tally.answered > 50, "{tally:?}");
+    assert!(tally.answered * 100 >= tally.total() * 98, "{tally:?}");
+}
+
+fn check_kept(bed: &Bed) {
+    assert_eq!(bed.promises().breaches(), Vec::<String>::new());
+}
+
+#[test]
+fn planned_changes() {
+    let mut bed = bed("planned_changes");
+    check_served(&observe(&bed, 1_000));
+
+    bed.promises().take_tally();
+    assert_eq!(bed.stop_host(0).expect("it ends in time"), Some(0));
+    bed.add_target(0).expect("a target starts");
+    bed.drain_target(0);
+    bed.start_host(0).expect("the host starts");
+    bed.wait_for_rotation(5_000).expect("the host is ready again");
+    let changes = bed.promises().take_tally();
+    assert_eq!(changes.reset, 0, "{changes:?}");
+    assert_eq!(changes.late, 0, "{changes:?}");
+    check_kept(&bed);
+}
+
+#[test]
+fn store_outage() {
+    let mut bed = bed("store_outage");
+    bed.set_store(StoreMode::Silent);
+    bed.lapse_targets(false);
+    bed.kill_host(0).expect("the host is killed");
+    bed.start_host(0).expect("the host starts");
+    // It gets its view from another host.
+    bed.wait_for_rotation(3_000).expect("the host is ready while the store is away");
+    bed.set_store(StoreMode::Well);
+    pause(1_000);
+    bed.lapse_targets(true);
+    pause(3_000);
+    check_served(&observe(&bed, 1_000));
+    check_kept(&bed);
+}
+
+#[test]
+fn all_killed() {
+    let mut bed = bed("all_killed");
+    for index in 0..bed.host_count() {
+        bed.kill_host(index).expect("the host is killed");
+    }
+    for index in 0..bed.host_count() {
+        bed.start_host(index).expect("the host starts");
+    }
+    pause(3_000);
+    check_served(&observe(&bed, 1_000));
+    check_kept(&bed);
+}
+
+#[test]
+fn dead_target() {
+    let mut bed = bed("dead_target");
+    bed.kill_target(0);
+    pause(2_500);
+    // Its entry is still there.
+    check_served(&observe(&bed, 1_000));
+    check_kept(&bed);
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod processes;
 mod prove;
+mod soak;
 mod sockets;
 mod test;
 
@@ -31,6 +32,7 @@
     Codegen(codegen::Options),
     Measure(measure::Options),
     Prove(prove::Options),
+    Soak(soak::Options),
     Sockets(sockets::Options),
 }
 
@@ -52,6 +54,7 @@
         Task::Codegen(options) => codegen::run(options),
         Task::Measure(options) => measure::run(options),
         Task::Prove(options) => prove::run(options),
+        Task::Soak(options) => soak::run(options),
         Task::Sockets(options) => sockets::run(options),
     }
 }
