--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -82,13 +82,13 @@
         written.push((fleet.now_ms, fleet.revision));
         let mut failure = None;
         fleet.run(u64::from(*step) * 8 + 40, |fleet| {
-            for index in 0..fleet.len() {
+            for (index, highest) in revisions.iter_mut().enumerate() {
                 let relay = fleet.relay(index);
                 let revision = relay.catalog().revision();
-                if revision < revisions[index] {
+                if revision < *highest {
                     failure = Some(format!("host {index} went back to revision {revision}"));
                 }
-                revisions[index] = revision;
+                *highest = revision;
                 let Some(confirmed_at_ms) = relay.confirmed_at_ms() else { continue };
                 let newest = written.iter().filter(|write| write.0 < confirmed_at_ms).map(|w| w.1);
                 if newest.max().is_some_and(|newest| revision < newest) {
