--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -13,8 +13,8 @@
 use crate::{Platform, Source, replay::ReplayGuard, shared::Shared};
 
 /// How long a host waits between two reports of its loads to its failure domain, for each host of
-/// the domain, in milliseconds: the messages that a host receives stay below 40 a second.
-const LOADS_STEP_MS: u64 = 25;
+/// the domain, in milliseconds: the messages that a host receives from it stay below 20 a second.
+const LOADS_STEP_MS: u64 = 50;
 
 /// How long it waits at least, in milliseconds.
 const LOADS_MIN_MS: u64 = 200;
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -65,6 +65,8 @@
     has_load_news: bool,
     has_dead_news: bool,
     resets: Vec<Segment>,
+    /// The revision of the view in force.
+    revision: u64,
     rng: StdRng,
 }
 
@@ -103,6 +105,7 @@
             has_load_news: false,
             has_dead_news: false,
             resets: Vec::new(),
+            revision: 0,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -166,6 +169,7 @@
     /// A new view is in force: flows of targets that are gone are reset, and targets that are slow
     /// after their start are noted.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
+        self.revision = directory.revision;
         let gone: Vec<TargetId> = (self.own.keys().copied())
             .filter(|target| {
                 let index = directory.find_target(*target);
@@ -173,7 +177,7 @@
             })
             .collect();
         for target in gone {
-            self.reset_flows(target, Reason::TargetGone, directory.revision);
+            self.reset_flows(target, Reason::TargetGone);
         }
         self.warmups.retain(|target, _| directory.find_target(*target).is_some());
         for position in 0..directory.target_count() {
@@ -527,11 +531,12 @@
         self.note_standing(target);
         if self.health.standing(target) == Standing::Dead {
             self.has_dead_news = true;
-            self.reset_flows(target, Reason::TargetDead, 0);
+            self.reset_flows(target, Reason::TargetDead);
         }
     }
 
-    fn reset_flows(&mut self, target: TargetId, reason: Reason, revision: u64) {
+    fn reset_flows(&mut self, target: TargetId, reason: Reason) {
+        let (revision, view_age_ms) = (self.revision, 0);
         for (key, acknowledged) in self.flows.of_target(target) {
             let segment = Segment {
                 key,
@@ -543,7 +548,7 @@
             };
             self.release_flow(&segment);
             self.counters.count_reset(reason);
-            self.note(Event::Reset { key, target: Some(target), reason, revision, view_age_ms: 0 });
+            self.note(Event::Reset { key, target: Some(target), reason, revision, view_age_ms });
             self.resets.push(segment);
         }
     }
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -13,8 +13,8 @@
 
 use crate::Event;
 
-/// How many lines of one event are written in one second.
-const LINES_PER_SECOND: u32 = 10;
+/// How many lines of one event are written in one second: the flows of a dead target at one host.
+const LINES_PER_SECOND: u32 = 50;
 
 /// A named value of an event. Names carry the unit.
 #[derive(Debug, Clone, PartialEq, Eq)]
