Keep control traffic and checks of large sites small, and checks apart from own trouble

Now rows are packed, a host passes them on to 4 others and asks again after 300 ms at the earliest; a directory is published at most each 50 ms; a check connects to a target that has answered lately as well, and decides nothing if neither accepts (own_trouble); an opening counts as unanswered only if the socket was empty since (late_packets); the pause between checks doubles up to 8 s (rarer_checks); a target that others report is checked only by hosts with flows of it. Ruled out: a longer time for each check alone; it costs the callers of dead targets on small sites. Also: a demonstration without flows prints no imbalance.

--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -11,7 +11,7 @@
 };
 
 use async_signal::{Signal, Signals};
-use catalog::{Directory, TargetId};
+use catalog::{Digest, Directory, TargetId};
 use eyre::{Result, WrapErr};
 use futures_lite::StreamExt;
 use relay::Role;
@@ -21,7 +21,8 @@
     channel::{Receiver, Sender, bounded},
     net::UdpSocket,
 };
-use tagged::{CheckVerdict, Event as Decision, HostLoad, TargetLoad};
+use store::StoreError;
+use tagged::{CheckVerdict, DueCheck, Event as Decision, HostLoad, TargetLoad};
 use telemetry::{Event, field};
 use wire::{Control as Message, Frame, FrameKind};
 
@@ -35,6 +36,9 @@
 /// How often control state advances, in milliseconds.
 const TICK_MS: u64 = 100;
 
+/// How soon after another a directory may be published, in milliseconds.
+const PUBLISH_MS: u64 = 50;
+
 /// The same while the host has no directory and callers wait for it.
 const NEWCOMER_TICK_MS: u64 = 10;
 
@@ -69,6 +73,13 @@
 /// Within how many bits the number of a datagram counts within one millisecond of starts.
 const NUMBER_SHIFT: u32 = 20;
 
+/// The directory that the data thread was given last.
+#[derive(Debug, Clone, Copy)]
+struct Published {
+    stamp: (u64, Digest),
+    at_ms: u64,
+}
+
 /// The control state, shared by the tasks of this thread.
 #[derive(Clone)]
 pub(crate) struct State {
@@ -77,7 +88,7 @@
     socket: Rc<UdpSocket>,
     executor: Rc<LocalExecutor<'static>>,
     next_number: Rc<Cell<u64>>,
-    published_digest: Rc<Cell<Option<(u64, catalog::Digest)>>>,
+    published: Rc<Cell<Option<Published>>>,
     is_stopping: Rc<Cell<bool>>,
     /// The flows that this host sees, if others have not heard of them yet.
     loads: Rc<RefCell<Option<Vec<TargetLoad>>>>,
@@ -101,7 +112,7 @@
             socket: Rc::new(socket),
             executor: executor.clone(),
             next_number: Rc::new(Cell::new(shared.incarnation << NUMBER_SHIFT)),
-            published_digest: Rc::default(),
+            published: Rc::default(),
             is_stopping: Rc::default(),
             loads: Rc::default(),
             seen_at_ms: Rc::new(Cell::new(clock::now_ms())),
@@ -150,16 +161,21 @@
         self.send_all(mail);
         let core = self.core.borrow();
         let relay = core.relay();
-        if let Some(at_ms) = relay.confirmed_at_ms() {
-            self.shared.confirmed_at_ms.store(at_ms, Ordering::Relaxed);
-        }
         let catalog = relay.catalog();
+        let Some(confirmed_at_ms) = relay.confirmed_at_ms() else { return };
         let stamp = (catalog.revision(), catalog.digest());
-        let is_same = self.published_digest.get() == Some(stamp);
-        if is_same || relay.confirmed_at_ms().is_none() || catalog.rows().is_empty() {
+        if self.published.get().is_some_and(|published| published.stamp == stamp) {
+            self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
             return;
         }
-        let is_first = self.published_digest.replace(Some(stamp)).is_none();
+        let now_ms = clock::now_ms();
+        let is_recent =
+            self.published.get().is_some_and(|published| now_ms < published.at_ms + PUBLISH_MS);
+        // A large change comes in many parts; the next tick publishes what has come by then.
+        if is_recent || catalog.rows().is_empty() {
+            return;
+        }
+        let is_first = self.published.replace(Some(Published { stamp, at_ms: now_ms })).is_none();
         let directory = Directory::new(catalog);
         telemetry::emit(
             Event::CatalogInForce,
@@ -167,13 +183,11 @@
                 field("revision", catalog.revision()),
                 field("listeners", directory.listeners().len()),
                 field("targets", directory.target_count()),
-                field(
-                    "view_age_ms",
-                    clock::now_ms().saturating_sub(relay.confirmed_at_ms().unwrap_or(0)),
-                ),
+                field("view_age_ms", now_ms.saturating_sub(confirmed_at_ms)),
             ],
         );
         self.shared.directory.store(Some(Arc::new(directory)));
+        self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
         if is_first {
             telemetry::emit(Event::Ready, &[]);
             self.shared.wake_data_thread();
@@ -314,40 +328,56 @@
                         self.send_loads(clock::now_ms());
                     }
                 }
-                Notice::Check(target) => self.spawn(self.clone().check(target)),
+                Notice::Check(due) => self.spawn(self.clone().check(due)),
                 Notice::Events(events, left_out) => log_decisions(&events, left_out),
             }
         }
     }
 
-    async fn check(self, target: TargetId) {
-        let Some(directory) = self.shared.directory.load_full() else { return };
-        let Some(index) = directory.find_target(target) else { return };
-        let record = directory.target(index);
+    /// Tries to connect to a target and, to tell its silence from trouble of this host or its link,
+    /// to another one that has answered lately.
+    async fn check(self, due: DueCheck) {
         let started_at_ms = clock::now_ms();
-        // A target that accepts a connection lives, however long its requests wait.
-        let (address, timeout) = (record.address.into(), Duration::from_millis(CHECK_MS));
-        let mut answer = store::probe(address, timeout).await;
-        if answer.is_err() {
-            answer = store::probe(address, timeout).await;
-        }
+        let reference = async {
+            match due.reference {
+                Some(reference) => self.connect(reference).await.is_ok(),
+                None => true,
+            }
+        };
+        let (answer, is_reference_well) =
+            smol::future::zip(self.connect(due.target), reference).await;
         let (verdict, shown) = match answer {
             Ok(()) => (CheckVerdict::Answered, "connected".to_owned()),
-            Err(error) => (CheckVerdict::Failed, error.to_string()),
+            Err(error) if is_reference_well => (CheckVerdict::Failed, error.to_string()),
+            Err(error) => (CheckVerdict::Unclear, error.to_string()),
         };
         telemetry::emit(
             Event::TargetChecked,
             &[
-                field("target", format_args!("{:x}", target.0)),
+                field("target", format_args!("{:x}", due.target.0)),
+                field("verdict", format_args!("{verdict:?}")),
                 field("answer", shown),
                 field("took_ms", clock::now_ms() - started_at_ms),
             ],
         );
-        let command = Command::Checked { target, verdict, started_at_ms };
+        let command = Command::Checked { target: due.target, verdict, started_at_ms };
         // The data thread asks again if the answer is lost.
         let _ = self.shared.commands.0.try_send(command);
     }
 
+    async fn connect(&self, target: TargetId) -> Result<(), StoreError> {
+        let unknown = || StoreError::Unreachable("the target is not known".to_owned());
+        let directory = self.shared.directory.load_full().ok_or_else(unknown)?;
+        let index = directory.find_target(target).ok_or_else(unknown)?;
+        // A target that accepts a connection lives, however long its requests wait.
+        let address = directory.target(index).address.into();
+        let timeout = Duration::from_millis(CHECK_MS);
+        if store::probe(address, timeout).await.is_ok() {
+            return Ok(());
+        }
+        store::probe(address, timeout).await
+    }
+
     async fn follow_settings(self, path: PathBuf) {
         loop {
             Timer::after(Duration::from_millis(SETTINGS_MS)).await;
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -52,6 +52,8 @@
     out: Vec<u8>,
     next_notice_ms: u64,
     next_status_ms: u64,
+    /// When no packet waited last.
+    drained_at_ms: u64,
     platform: PhantomData<P>,
 }
 
@@ -71,6 +73,7 @@
             out: Vec::with_capacity(DATAGRAM_BYTES),
             next_notice_ms: 0,
             next_status_ms: 0,
+            drained_at_ms: 0,
             platform: PhantomData,
         })
     }
@@ -79,8 +82,13 @@
     pub(crate) fn run(&mut self) -> Result<()> {
         let mut buffer = vec![0; DATAGRAM_BYTES];
         while !self.shared.is_exiting() {
+            let asked_at_ms = clock::now_ms();
             let received = self.shared.data.recv_from(&mut buffer);
             let now_ms = clock::now_ms();
+            if now_ms > asked_at_ms {
+                // The socket was empty when it was asked.
+                self.drained_at_ms = asked_at_ms;
+            }
             self.take_directory(now_ms);
             self.take_commands(now_ms);
             if let Some(length) = length_of(received)? {
@@ -134,7 +142,7 @@
                 self.send(address.into());
             }
             Verdict::Reset(_) => self.send_reset(segment),
-            Verdict::Hold | Verdict::Drop(_) => {}
+            Verdict::Drop(_) => {}
         }
     }
 
@@ -188,8 +196,8 @@
         if let Some(news) = self.traffic.take_load_news() {
             self.tell(Notice::Loads(news));
         }
-        for target in self.traffic.take_due_checks(now_ms) {
-            self.tell(Notice::Check(target));
+        for due in self.traffic.take_due_checks(self.drained_at_ms, now_ms) {
+            self.tell(Notice::Check(due));
         }
         let (events, left_out) = self.traffic.take_events();
         if !events.is_empty() {
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
-use tagged::{Counter, Counters};
+use tagged::Counters;
 
 use crate::{Platform, clock, control_thread::State};
 
@@ -109,7 +109,6 @@
     }
     observe_reasons(state, "flows_reset", Counters::resets);
     observe_reasons(state, "packets_dropped", Counters::drops);
-    debug_assert_eq!(Counters::NAMES.len(), Counter::Dead as usize + 1);
 }
 
 fn observe_reasons(state: &State, name: &'static str, read: fn(&Counters, tagged::Reason) -> u64) {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use routing::HostId;
 use settings::name_seed;
 use smol::channel::{Receiver, Sender, bounded};
-use tagged::{CheckVerdict, Counters, Event, HostLoad, LoadNews};
+use tagged::{CheckVerdict, Counters, DueCheck, Event, HostLoad, LoadNews};
 use telemetry::Metrics;
 use wire::PeerKey;
 
@@ -29,7 +29,7 @@
     /// The flows that this host sees have changed.
     Loads(LoadNews),
     /// A target is to be checked.
-    Check(TargetId),
+    Check(DueCheck),
     /// Decisions, and how many were left out.
     Events(Vec<Event>, u64),
 }
--- a/crates/relay/src/assembly.rs
+++ b/crates/relay/src/assembly.rs
@@ -13,6 +13,8 @@
     scope: Scope,
     after: u64,
     missing: Vec<u32>,
+    /// When the last part came.
+    pub(crate) at_ms: u64,
     /// The keys of all rows so far, for transfers of every row.
     pub(crate) keys: Vec<Key>,
 }
@@ -26,6 +28,7 @@
             scope: batch.scope,
             after: batch.after,
             missing: (0..batch.parts).collect(),
+            at_ms: 0,
             keys: Vec::new(),
         }
     }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -19,8 +19,11 @@
     /// By how much each further host waits longer before it reads as well; a reading and its push
     /// take less.
     pub rank_step_ms: u64,
-    /// How many hosts a host passes a push on to.
+    /// How many hosts a host passes a push on to: few, since a large change goes over links of
+    /// 10 Mbit/s as often.
     pub fanout: usize,
+    /// How long a host waits for rows that it asked for before it asks again.
+    pub pull_ms: u64,
     /// How many hosts are asked at a time.
     pub asked: usize,
     /// How many rows one datagram carries at most; a row takes about 100 bytes.
@@ -38,7 +41,8 @@
             answer_ms: 200,
             newcomer_ms: 10,
             rank_step_ms: 130,
-            fanout: 16,
+            fanout: 4,
+            pull_ms: 300,
             asked: 3,
             rows_per_batch: 64,
             gone_ms: 75_000,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -60,6 +60,8 @@
     /// When others were last asked, and when one of them last told anything.
     asked_at_ms: Option<u64>,
     heard_at_ms: Option<u64>,
+    /// When this host last asked for rows that it lacks.
+    pulled_at_ms: Option<u64>,
     role: Role,
     next_heartbeat_ms: u64,
     assembly: Option<Assembly>,
@@ -84,6 +86,7 @@
             started_at_ms: now_ms,
             asked_at_ms: None,
             heard_at_ms: None,
+            pulled_at_ms: None,
             role: Role::Listener,
             next_heartbeat_ms: 0,
             assembly: None,
@@ -227,12 +230,10 @@
         if heartbeat.revision < self.catalog.revision() {
             return Vec::new();
         }
-        let is_same = heartbeat.digest == self.catalog.digest();
-        if heartbeat.revision == self.catalog.revision() && !is_same {
-            return vec![Outgoing { to: from, message: Message::Pull(self.pull(Scope::All)) }];
-        }
-        if !is_same {
-            return vec![Outgoing { to: from, message: Message::Pull(self.pull(Scope::Changes)) }];
+        if heartbeat.digest != self.catalog.digest() {
+            let is_gap = heartbeat.revision > self.catalog.revision();
+            let scope = if is_gap { Scope::Changes } else { Scope::All };
+            return self.ask_for_rows(from, scope, now_ms);
         }
         self.catalog.advance(heartbeat.revision);
         let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.transit_ms);
@@ -247,6 +248,18 @@
         self.send_down(heartbeat.root, &Message::Heartbeat(next))
     }
 
+    /// Asks for rows unless some are on their way: many hosts that ask for a large change at once
+    /// would fill the links that it comes over.
+    fn ask_for_rows(&mut self, to: SocketAddr, scope: Scope, now_ms: u64) -> Vec<Outgoing> {
+        let is_recent = |at_ms: u64| now_ms < at_ms + self.config.pull_ms;
+        let is_coming = self.assembly.as_ref().is_some_and(|assembly| is_recent(assembly.at_ms));
+        if is_coming || self.pulled_at_ms.is_some_and(is_recent) {
+            return Vec::new();
+        }
+        self.pulled_at_ms = Some(now_ms);
+        vec![Outgoing { to, message: Message::Pull(self.pull(scope)) }]
+    }
+
     fn answer(&self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
         let Some(heartbeat) = self.heartbeat(HostId(0), now_ms) else { return Vec::new() };
         let has_news = self.catalog.revision() > pull.revision || pull.scope == Scope::All;
@@ -283,7 +296,7 @@
             out.extend(self.send_down(root, &Message::Rows(next)));
         }
         self.note_gone(&news, now_ms);
-        if !self.is_complete(sender, &batch) {
+        if !self.is_complete(sender, &batch, now_ms) {
             return out;
         }
         // Rows that are only newer than a gap lead to a question for what is in the gap.
@@ -297,9 +310,10 @@
     }
 
     /// Notes a part of a transfer. Returns whether the transfer is complete.
-    fn is_complete(&mut self, sender: HostId, batch: &RowBatch) -> bool {
+    fn is_complete(&mut self, sender: HostId, batch: &RowBatch, now_ms: u64) -> bool {
         let current = self.assembly.take().filter(|assembly| assembly.matches(sender, batch));
         let mut assembly = current.unwrap_or_else(|| Assembly::new(sender, batch));
+        assembly.at_ms = now_ms;
         if !assembly.add(batch) {
             self.assembly = Some(assembly);
             return false;
--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -34,8 +34,11 @@
     pub full_ms: u64,
     /// How long ago a target may have answered for others' reports of its death to be ignored.
     pub heard_ms: u64,
-    /// How long a target that failed its check counts as dead before it is checked again.
+    /// How long a target that failed its check counts as dead before it is checked again; each
+    /// further failure doubles it.
     pub dead_ms: u64,
+    /// How long that pause gets.
+    pub dead_max_ms: u64,
 }
 
 impl Default for Config {
@@ -55,6 +58,7 @@
             full_ms: 300,
             heard_ms: 300,
             dead_ms: 2_000,
+            dead_max_ms: 8_000,
         }
     }
 }
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -12,8 +12,6 @@
     Opened,
     /// Openings that were tried on another target.
     Retried,
-    /// Packets that waited for a view.
-    Held,
     /// Targets that were suspected.
     Suspected,
     /// Targets that failed their check.
@@ -36,7 +34,6 @@
         (Counter::Forwarded, "packets_forwarded"),
         (Counter::Opened, "flows_opened"),
         (Counter::Retried, "openings_retried"),
-        (Counter::Held, "packets_held"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
     ];
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -32,8 +32,19 @@
 pub enum Verdict {
     /// The target answered.
     Answered,
-    /// It did not.
+    /// It did not, while another target did.
     Failed,
+    /// Neither did: the trouble is this host's.
+    Unclear,
+}
+
+/// A check that is to be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DueCheck {
+    /// The target in doubt.
+    pub target: TargetId,
+    /// Another one that has answered lately and is to be asked at the same time.
+    pub reference: Option<TargetId>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +60,8 @@
     failed_openings: u32,
     stalled_flows: u32,
     is_check_due: bool,
+    /// How long after a failed check the next one follows.
+    dead_pause_ms: u64,
 }
 
 /// What is held of targets, sorted by identity. Targets without a record are good.
@@ -111,8 +124,15 @@
     /// A host of the same failure domain holds `target` for dead. Returns whether the standing
     /// changed.
     ///
-    /// With evidence of this host's own that is enough; without any the target is checked.
-    pub fn on_reported_dead(&mut self, target: TargetId, config: &Config, now_ms: u64) -> bool {
+    /// With evidence of this host's own that is enough; without any the target is checked if this
+    /// host sees flows of it.
+    pub fn on_reported_dead(
+        &mut self,
+        target: TargetId,
+        has_flows: bool,
+        config: &Config,
+        now_ms: u64,
+    ) -> bool {
         let record = self.record(target, now_ms);
         if record.standing == Standing::Dead {
             return false;
@@ -125,7 +145,7 @@
         if is_heard || record.standing != Standing::Good {
             return false;
         }
-        record.is_check_due = true;
+        record.is_check_due = has_flows;
         record.until_ms = now_ms + config.suspicion_ms;
         record.change(Standing::Suspect, now_ms)
     }
@@ -136,6 +156,7 @@
         target: TargetId,
         verdict: Verdict,
         started_at_ms: u64,
+        config: &Config,
         now_ms: u64,
     ) -> bool {
         let record = self.record(target, now_ms);
@@ -146,29 +167,53 @@
                 record.answered_at_ms = now_ms;
                 record.change(Standing::Good, now_ms)
             }
+            Verdict::Unclear => {
+                record.failed_openings = 0;
+                record.stalled_flows = 0;
+                record.change(Standing::Good, now_ms)
+            }
             Verdict::Failed if record.progress_at_ms >= started_at_ms => false,
             Verdict::Failed => {
-                let is_news = record.change(Standing::Dead, now_ms);
+                // Each further failure doubles the pause: the entry of a target that is gone for
+                // good lapses soon, and a cut may last.
+                let pause_ms = match record.standing {
+                    Standing::Dead => 2 * record.dead_pause_ms,
+                    _ => config.dead_ms,
+                };
+                record.dead_pause_ms = pause_ms.min(config.dead_max_ms);
                 record.since_ms = now_ms;
-                is_news
+                record.change(Standing::Dead, now_ms)
             }
         }
     }
 
     /// The targets that are to be checked now.
-    pub fn take_due_checks(&mut self, config: &Config, now_ms: u64) -> Vec<TargetId> {
-        let mut due = Vec::new();
+    pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<DueCheck> {
+        let mut targets = Vec::new();
         for record in &mut self.records {
-            let is_old = now_ms >= record.since_ms + config.dead_ms;
+            let is_old = now_ms >= record.since_ms + record.dead_pause_ms;
             if record.standing == Standing::Dead && is_old {
                 record.since_ms = now_ms;
                 record.is_check_due = true;
             }
             if std::mem::take(&mut record.is_check_due) {
-                due.push(record.target);
+                targets.push(record.target);
             }
         }
-        due
+        targets
+            .into_iter()
+            .map(|target| DueCheck { target, reference: self.last_heard(target) })
+            .collect()
+    }
+
+    /// The target other than `target` that answered last and is not in doubt.
+    fn last_heard(&self, target: TargetId) -> Option<TargetId> {
+        self.records
+            .iter()
+            .filter(|record| record.target != target && record.standing == Standing::Good)
+            .filter(|record| record.progress_at_ms > 0)
+            .max_by_key(|record| record.progress_at_ms)
+            .map(|record| record.target)
     }
 
     /// Ends suspicions that ran out and forgets targets for which `is_known` does not hold. Gives
@@ -205,6 +250,7 @@
                     failed_openings: 0,
                     stalled_flows: 0,
                     is_check_due: false,
+                    dead_pause_ms: 0,
                 };
                 self.records.insert(position, record);
                 position
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -28,7 +28,7 @@
     config::Config,
     counters::{Counter, Counters},
     event::{Event, Reason},
-    health::{Health, Standing, Verdict as CheckVerdict},
+    health::{DueCheck, Health, Standing, Verdict as CheckVerdict},
     load::{HostLoad, LoadBoard, TargetLoad},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
     traffic::{LoadNews, Traffic, View},
--- a/crates/tagged/src/segment.rs
+++ b/crates/tagged/src/segment.rs
@@ -62,8 +62,6 @@
     },
     /// Reset the flow towards the caller.
     Reset(Reason),
-    /// Keep it for a moment and ask again.
-    Hold,
     /// Drop it; the caller sends it again.
     Drop(Reason),
 }
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    Candidate, CheckVerdict, Config, Counter, Counters, Doubt, Event, Health, HostLoad, LoadBoard,
-    Reason, Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
+    Candidate, CheckVerdict, Config, Counter, Counters, Doubt, DueCheck, Event, Health, HostLoad,
+    LoadBoard, Reason, Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
     flows::{FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
@@ -134,7 +134,6 @@
         match verdict {
             Verdict::Forward { .. } => self.counters.count(Counter::Forwarded),
             Verdict::Reset(reason) => self.note_reset(view, segment, reason),
-            Verdict::Hold => self.counters.count(Counter::Held),
             Verdict::Drop(reason) => self.counters.count_drop(reason),
         }
         verdict
@@ -190,12 +189,13 @@
         }
     }
 
-    /// The targets that are to be checked now.
-    pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<TargetId> {
-        for target in self.openings.take_unanswered(self.config.handshake_ms, now_ms) {
+    /// The checks that are to be made now. `drained_at_ms` is when no packet waited last: what came
+    /// before has been seen.
+    pub fn take_due_checks(&mut self, drained_at_ms: u64, now_ms: u64) -> Vec<DueCheck> {
+        for target in self.openings.take_unanswered(self.config.handshake_ms, drained_at_ms) {
             self.note_unanswered(target, now_ms);
         }
-        self.health.take_due_checks(&self.config, now_ms)
+        self.health.take_due_checks(now_ms)
     }
 
     /// A check that was started at `started_at_ms` has ended.
@@ -206,7 +206,7 @@
         started_at_ms: u64,
         now_ms: u64,
     ) {
-        if self.health.on_check(target, verdict, started_at_ms, now_ms) {
+        if self.health.on_check(target, verdict, started_at_ms, &self.config, now_ms) {
             self.follow_standing(target);
         }
     }
@@ -217,7 +217,8 @@
             load.targets.iter().filter(|load| load.is_dead).map(|load| load.target).collect();
         self.others.on_report(load, now_ms);
         for target in dead {
-            if self.health.on_reported_dead(target, &self.config, now_ms) {
+            let has_flows = self.own.contains_key(&target);
+            if self.health.on_reported_dead(target, has_flows, &self.config, now_ms) {
                 self.follow_standing(target);
             }
         }
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -28,12 +28,9 @@
     let (mut host, tag) = busy_host();
     host.now_ms += 200;
     host.send(&data(0, tag, 100, 50));
-    assert!(
-        host.traffic.take_due_checks(host.now_ms).is_empty(),
-        "one flow may have lost a packet"
-    );
+    assert!(host.due_checks().is_empty(), "one flow may have lost a packet");
     host.send(&data(1, tag, 100, 50));
-    assert_eq!(host.traffic.take_due_checks(host.now_ms), [TARGET]);
+    assert_eq!(host.due_checks(), [TARGET]);
     let started_at_ms = host.now_ms;
     host.now_ms += 240;
     host.traffic.on_check(TARGET, CheckVerdict::Failed, started_at_ms, host.now_ms);
@@ -68,7 +65,7 @@
         let view = tagged::View { directory: &host.directory, age_ms: 100 };
         host.traffic.on_tick(view, host.now_ms);
     }
-    assert!(host.traffic.take_due_checks(host.now_ms).is_empty(), "silence of callers is no sign");
+    assert!(host.due_checks().is_empty(), "silence of callers is no sign");
     assert!(host.traffic.take_resets().is_empty());
 }
 
@@ -142,3 +139,42 @@
     host.now_ms += 300;
     assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Reset(Reason::UnknownTag));
 }
+
+#[test]
+fn own_trouble() {
+    let (mut host, tag) = busy_host();
+    host.now_ms += 200;
+    host.send(&data(0, tag, 100, 50));
+    host.send(&data(1, tag, 100, 50));
+    // The other target did not answer either: it is this host or its link that is slow.
+    host.traffic.on_check(TARGET, CheckVerdict::Unclear, host.now_ms, host.now_ms + 140);
+    assert!(host.traffic.take_resets().is_empty());
+    assert!(matches!(host.send(&data(2, tag, 100, 50)), Verdict::Forward { .. }));
+}
+
+#[test]
+fn rarer_checks() {
+    let (mut host, tag) = busy_host();
+    host.now_ms += 200;
+    host.send(&data(0, tag, 100, 50));
+    host.send(&data(1, tag, 100, 50));
+    let mut checked_at = Vec::new();
+    for _ in 0..300 {
+        host.now_ms += 50;
+        for target in host.due_checks() {
+            checked_at.push(host.now_ms);
+            host.traffic.on_check(target, CheckVerdict::Failed, host.now_ms, host.now_ms);
+        }
+    }
+    let pauses: Vec<u64> = checked_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(pauses, [2_000, 4_000, 8_000]);
+}
+
+#[test]
+fn late_packets() {
+    let (mut host, _) = busy_host();
+    host.now_ms += 500;
+    // The callers' next packets may wait in the socket: it was not empty since the openings.
+    let due = host.traffic.take_due_checks(host.now_ms - 480, host.now_ms);
+    assert!(due.is_empty(), "{due:?}");
+}
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -63,8 +63,8 @@
     host.send(&data(2, tag, 6, 1));
     host.now_ms += 60;
     // A target that refuses tells the caller, not this host; the caller's next packet is missing.
-    assert_eq!(host.traffic.take_due_checks(host.now_ms), [silent]);
-    assert!(host.traffic.take_due_checks(host.now_ms).is_empty(), "one check an opening");
+    assert_eq!(host.due_checks(), [silent]);
+    assert!(host.due_checks().is_empty(), "one check an opening");
     let others: HashSet<TargetId> = (10..30).map(|caller| host.open(caller, 0).0).collect();
     assert!(!others.contains(&silent) && others.contains(&answering));
 }
@@ -74,7 +74,7 @@
     let mut host = Host::new(&[(1, NEAR), (2, NEAR)]);
     let (full, _) = host.open(1, 0);
     host.now_ms += 60;
-    assert_eq!(host.traffic.take_due_checks(host.now_ms), [full]);
+    assert_eq!(host.due_checks(), [full]);
     host.traffic.on_check(full, CheckVerdict::Answered, host.now_ms, host.now_ms);
     // Openings go there until another one is left alone; those to the other target are answered.
     for caller in 100.. {
@@ -86,7 +86,7 @@
     }
     host.now_ms += 60;
     // It lives: no check for every opening that it leaves alone, and no flow for a moment.
-    assert!(host.traffic.take_due_checks(host.now_ms).is_empty());
+    assert!(host.due_checks().is_empty());
     let targets: HashSet<TargetId> = (10..30).map(|caller| host.open(caller, 0).0).collect();
     assert!(!targets.contains(&full));
 }
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -98,6 +98,12 @@
         self.traffic.on_segment(view, segment, self.now_ms)
     }
 
+    /// The targets that are to be checked now.
+    pub fn due_checks(&mut self) -> Vec<TargetId> {
+        let due = self.traffic.take_due_checks(self.now_ms, self.now_ms);
+        due.into_iter().map(|due| due.target).collect()
+    }
+
     /// Opens the flow of `caller`; gives the target and the tag.
     pub fn open(&mut self, caller: u16, copy: u32) -> (TargetId, FlowTag) {
         match self.send(&opening(caller, copy)) {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -7,7 +7,7 @@
 
 use capnp::{
     message::{Builder, HeapAllocator, ReaderOptions},
-    serialize,
+    serialize_packed,
 };
 use flow::FlowHash;
 use membership::{Member, MemberState, Probe, ProbeKind};
@@ -145,7 +145,12 @@
             }
         }
     }
-    serialize::write_message_to_words(&builder)
+    // Packed, since most fields are small numbers and hosts have narrow links.
+    let mut bytes = Vec::new();
+    match serialize_packed::write_message(&mut bytes, &builder) {
+        Ok(()) => bytes,
+        Err(error) => unreachable!("writing to memory does not fail: {error}"),
+    }
 }
 
 /// Decodes a message.
@@ -155,7 +160,7 @@
 /// Fails on anything that [`encode`] would not have written.
 pub fn decode(bytes: &[u8]) -> Result<Control, DecodeError> {
     let mut rest = bytes;
-    let reader = serialize::read_message(&mut rest, ReaderOptions::new())?;
+    let reader = serialize_packed::read_message(&mut rest, ReaderOptions::new())?;
     let root = reader.get_root::<control::Reader>()?;
     match root.which().map_err(capnp::Error::from)? {
         control::Probe(probe) => Ok(Control::Probe(decode_probe(probe?)?)),
--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -35,7 +35,8 @@
 struct Summary {
     #[serde(flatten)]
     outcome: Outcome,
-    imbalance: f64,
+    /// None if no host reported a flow, so that nothing was measured.
+    imbalance: Option<f64>,
     settings_in_force_ms: u64,
     planned_stop_exit_code: i32,
 }
@@ -91,7 +92,7 @@
 }
 
 /// The largest number of flows of a target over the mean, among the targets that hold most.
-fn imbalance(status: &Value, drained: &str) -> f64 {
+fn imbalance(status: &Value, drained: &str) -> Option<f64> {
     let mut flows: BTreeMap<String, u64> = BTreeMap::new();
     for host in status.as_array().into_iter().flatten() {
         for usage in host["usage"].as_array().into_iter().flatten() {
@@ -107,10 +108,10 @@
         by_service.entry(service(target)).or_default().push(*count);
     }
     let busiest = by_service.values().max_by_key(|counts| counts.iter().sum::<u64>());
-    let Some(counts) = busiest else { return 0.0 };
+    let counts = busiest?;
     let total: u64 = counts.iter().sum();
-    let largest = counts.iter().max().copied().unwrap_or(0);
-    if total == 0 { 0.0 } else { largest as f64 * counts.len() as f64 / total as f64 }
+    let largest = counts.iter().max().copied()?;
+    (total > 0).then(|| largest as f64 * counts.len() as f64 / total as f64)
 }
 
 fn first_target(tree: &std::path::Path) -> Result<String> {
