--- /dev/null
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -0,0 +1,23 @@
+//! A short run of the soak, and the seeds that failed once.
+
+use std::{path::Path, time::Duration};
+
+use platform_stand_ins::soak;
+
+fn check(seed: u64, seconds: u64) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
+    let report = soak(program, &folder, seed, Duration::from_secs(seconds)).expect("the bed runs");
+    let failures = report.failures();
+    assert!(
+        failures.is_empty(),
+        "{failures:#?} under {:#?}; logs: {}",
+        report.faults,
+        folder.display()
+    );
+}
+
+#[test]
+fn short_run() {
+    check(1, 8);
+}
