Split the relay, the traffic decisions and the control thread by job

relay: who else is there and the trees (hosts); tagged: where flows go (traffic/placing); edge: checks of targets, log lines of decisions. Behaviour unchanged.

--- /dev/null
+++ b/crates/edge/src/checks.rs
@@ -0,0 +1,58 @@
+//! Checks of targets in doubt.
+
+use std::time::Duration;
+
+use catalog::TargetId;
+use store::StoreError;
+use tagged::{CheckVerdict, DueCheck};
+use telemetry::{Event, field};
+
+use crate::{clock, control_thread::State, shared::Command};
+
+/// How long a target may take to accept a connection, in milliseconds; it is tried twice. Many round
+/// trips even between failure domains, and little beside the time limits of callers.
+const CHECK_MS: u64 = 70;
+
+/// Tries to connect to a target and, to tell its silence from trouble of this host or its link,
+/// to another one that has answered lately.
+pub(crate) async fn check(state: State, due: DueCheck) {
+    let started_at_ms = clock::now_ms();
+    let reference = async {
+        match due.reference {
+            Some(reference) => connect(&state, reference).await.is_ok(),
+            None => true,
+        }
+    };
+    let (answer, is_reference_well) =
+        smol::future::zip(connect(&state, due.target), reference).await;
+    let (verdict, shown) = match answer {
+        Ok(()) => (CheckVerdict::Answered, "connected".to_owned()),
+        Err(error) if is_reference_well => (CheckVerdict::Failed, error.to_string()),
+        Err(error) => (CheckVerdict::Unclear, error.to_string()),
+    };
+    telemetry::emit(
+        Event::TargetChecked,
+        &[
+            field("target", format_args!("{:x}", due.target.0)),
+            field("verdict", format_args!("{verdict:?}")),
+            field("answer", shown),
+            field("took_ms", clock::now_ms() - started_at_ms),
+        ],
+    );
+    let command = Command::Checked { target: due.target, verdict, started_at_ms };
+    // The data thread asks again if the answer is lost.
+    let _ = state.shared.commands.0.try_send(command);
+}
+
+async fn connect(state: &State, target: TargetId) -> Result<(), StoreError> {
+    let unknown = || StoreError::Unreachable("the target is not known".to_owned());
+    let directory = state.shared.directory.load_full().ok_or_else(unknown)?;
+    let index = directory.find_target(target).ok_or_else(unknown)?;
+    // A target that accepts a connection lives, however long its requests wait.
+    let address = directory.target(index).address.into();
+    let timeout = Duration::from_millis(CHECK_MS);
+    if store::probe(address, timeout).await.is_ok() {
+        return Ok(());
+    }
+    store::probe(address, timeout).await
+}
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -11,7 +11,7 @@
 };
 
 use async_signal::{Signal, Signals};
-use catalog::{Digest, Directory, TargetId};
+use catalog::{Digest, Directory};
 use eyre::{Result, WrapErr};
 use futures_lite::StreamExt;
 use relay::Role;
@@ -21,15 +21,14 @@
     channel::{Receiver, Sender, bounded},
     net::UdpSocket,
 };
-use store::StoreError;
-use tagged::{CheckVerdict, DueCheck, Event as Decision, HostLoad, TargetLoad};
+use tagged::{HostLoad, TargetLoad};
 use telemetry::{Event, field};
 use wire::{Control as Message, Frame, FrameKind};
 
 use crate::{
-    EdgeSettings, Platform, clock,
+    EdgeSettings, Platform, checks, clock,
     control::{Core, Mail},
-    pages, reader,
+    decision_log, pages, reader,
     shared::{Command, Notice, Shared},
 };
 
@@ -53,10 +52,6 @@
 /// How often the settings file is looked at, in milliseconds; it may change without a signal.
 const SETTINGS_MS: u64 = 5_000;
 
-/// How long a target may take to accept a connection, in milliseconds; it is tried twice. Many round
-/// trips even between failure domains, and little beside the time limits of callers.
-const CHECK_MS: u64 = 70;
-
 /// How long the host forwards after it reports that it is not ready, in milliseconds: routers ask
 /// twice a second and leave a host out after two misses.
 const LINGER_MS: u64 = 1_700;
@@ -328,56 +323,12 @@
                         self.send_loads(clock::now_ms());
                     }
                 }
-                Notice::Check(due) => self.spawn(self.clone().check(due)),
-                Notice::Events(events, left_out) => log_decisions(&events, left_out),
+                Notice::Check(due) => self.spawn(checks::check(self.clone(), due)),
+                Notice::Events(events, left_out) => decision_log::write(&events, left_out),
             }
         }
     }
 
-    /// Tries to connect to a target and, to tell its silence from trouble of this host or its link,
-    /// to another one that has answered lately.
-    async fn check(self, due: DueCheck) {
-        let started_at_ms = clock::now_ms();
-        let reference = async {
-            match due.reference {
-                Some(reference) => self.connect(reference).await.is_ok(),
-                None => true,
-            }
-        };
-        let (answer, is_reference_well) =
-            smol::future::zip(self.connect(due.target), reference).await;
-        let (verdict, shown) = match answer {
-            Ok(()) => (CheckVerdict::Answered, "connected".to_owned()),
-            Err(error) if is_reference_well => (CheckVerdict::Failed, error.to_string()),
-            Err(error) => (CheckVerdict::Unclear, error.to_string()),
-        };
-        telemetry::emit(
-            Event::TargetChecked,
-            &[
-                field("target", format_args!("{:x}", due.target.0)),
-                field("verdict", format_args!("{verdict:?}")),
-                field("answer", shown),
-                field("took_ms", clock::now_ms() - started_at_ms),
-            ],
-        );
-        let command = Command::Checked { target: due.target, verdict, started_at_ms };
-        // The data thread asks again if the answer is lost.
-        let _ = self.shared.commands.0.try_send(command);
-    }
-
-    async fn connect(&self, target: TargetId) -> Result<(), StoreError> {
-        let unknown = || StoreError::Unreachable("the target is not known".to_owned());
-        let directory = self.shared.directory.load_full().ok_or_else(unknown)?;
-        let index = directory.find_target(target).ok_or_else(unknown)?;
-        // A target that accepts a connection lives, however long its requests wait.
-        let address = directory.target(index).address.into();
-        let timeout = Duration::from_millis(CHECK_MS);
-        if store::probe(address, timeout).await.is_ok() {
-            return Ok(());
-        }
-        store::probe(address, timeout).await
-    }
-
     async fn follow_settings(self, path: PathBuf) {
         loop {
             Timer::after(Duration::from_millis(SETTINGS_MS)).await;
@@ -426,52 +377,3 @@
         Ok(())
     }
 }
-
-fn log_decisions(events: &[Decision], left_out: u64) {
-    for event in events {
-        log_decision(event);
-    }
-    if left_out > 0 {
-        telemetry::emit(Event::DecisionsLeftOut, &[field("count", left_out)]);
-    }
-}
-
-fn log_decision(event: &Decision) {
-    match event {
-        Decision::Opened { key, target, copy, flows, revision, view_age_ms } => telemetry::emit(
-            Event::FlowOpened,
-            &[
-                field("caller", key.caller),
-                field("listener", key.listener),
-                field("target", format_args!("{:x}", target.0)),
-                field("copy", copy),
-                field("flows", flows),
-                field("revision", revision),
-                field("view_age_ms", view_age_ms),
-            ],
-        ),
-        Decision::Reset { key, target, reason, revision, view_age_ms } => telemetry::emit(
-            Event::FlowReset,
-            &[
-                field("caller", key.caller),
-                field("listener", key.listener),
-                field("target", format_args!("{:x}", target.map_or(0, |target| target.0))),
-                field("code", reason.code()),
-                field("reason", format_args!("{reason:?}")),
-                field("revision", revision),
-                field("view_age_ms", view_age_ms),
-            ],
-        ),
-        Decision::Standing { target, standing, failed_openings, stalled_flows } => {
-            telemetry::emit(
-                Event::TargetStanding,
-                &[
-                    field("target", format_args!("{:x}", target.0)),
-                    field("standing", format_args!("{standing:?}")),
-                    field("failed_openings", failed_openings),
-                    field("stalled_flows", stalled_flows),
-                ],
-            );
-        }
-    }
-}
--- /dev/null
+++ b/crates/edge/src/decision_log.rs
@@ -0,0 +1,54 @@
+//! Log lines of decisions about flows.
+
+use tagged::Event as Decision;
+use telemetry::{Event, field};
+
+/// Logs `events`, of which `left_out` more were not kept.
+pub(crate) fn write(events: &[Decision], left_out: u64) {
+    for event in events {
+        log_decision(event);
+    }
+    if left_out > 0 {
+        telemetry::emit(Event::DecisionsLeftOut, &[field("count", left_out)]);
+    }
+}
+
+fn log_decision(event: &Decision) {
+    match event {
+        Decision::Opened { key, target, copy, flows, revision, view_age_ms } => telemetry::emit(
+            Event::FlowOpened,
+            &[
+                field("caller", key.caller),
+                field("listener", key.listener),
+                field("target", format_args!("{:x}", target.0)),
+                field("copy", copy),
+                field("flows", flows),
+                field("revision", revision),
+                field("view_age_ms", view_age_ms),
+            ],
+        ),
+        Decision::Reset { key, target, reason, revision, view_age_ms } => telemetry::emit(
+            Event::FlowReset,
+            &[
+                field("caller", key.caller),
+                field("listener", key.listener),
+                field("target", format_args!("{:x}", target.map_or(0, |target| target.0))),
+                field("code", reason.code()),
+                field("reason", format_args!("{reason:?}")),
+                field("revision", revision),
+                field("view_age_ms", view_age_ms),
+            ],
+        ),
+        Decision::Standing { target, standing, failed_openings, stalled_flows } => {
+            telemetry::emit(
+                Event::TargetStanding,
+                &[
+                    field("target", format_args!("{:x}", target.0)),
+                    field("standing", format_args!("{standing:?}")),
+                    field("failed_openings", failed_openings),
+                    field("stalled_flows", stalled_flows),
+                ],
+            );
+        }
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,10 +7,12 @@
 //! What a deployment's platform speaks is behind the trait [`Platform`]; this crate knows no names
 //! of it.
 
+mod checks;
 mod clock;
 mod control;
 mod control_thread;
 mod data_thread;
+mod decision_log;
 mod pages;
 mod platform;
 mod reader;
--- /dev/null
+++ b/crates/relay/src/hosts.rs
@@ -0,0 +1,109 @@
+//! Who else is there: the trees that messages go down, and the order in which hosts read the store.
+
+use std::{cmp::Reverse, net::SocketAddr};
+
+use routing::{HostId, score};
+
+use crate::Peer;
+
+/// The number that decides which host reads first.
+const READER_SEED: u64 = 0x7265_6164_6572_7321;
+
+/// This host and the others that are alive.
+#[derive(Debug)]
+pub(crate) struct Hosts {
+    me: HostId,
+    domain_seed: u64,
+    /// Sorted by identity.
+    peers: Vec<Peer>,
+}
+
+impl Hosts {
+    pub(crate) fn new(me: HostId, domain_seed: u64) -> Hosts {
+        Hosts { me, domain_seed, peers: Vec::new() }
+    }
+
+    pub(crate) fn set_peers(&mut self, mut peers: Vec<Peer>) {
+        peers.sort_by_key(|peer| peer.id);
+        self.peers = peers;
+    }
+
+    pub(crate) fn me(&self) -> HostId {
+        self.me
+    }
+
+    pub(crate) fn peers(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// The hosts that this one passes messages on to in the tree of `root`, a host of this domain.
+    ///
+    /// The tree is the sorted list of the domain's hosts from `root` on, `fanout` below each.
+    pub(crate) fn below(&self, root: HostId, fanout: usize) -> Vec<SocketAddr> {
+        let mut members = self.domain_hosts();
+        let Ok(start) = members.binary_search_by_key(&root, |member| member.0) else {
+            return Vec::new();
+        };
+        members.rotate_left(start);
+        let Some(position) = members.iter().position(|member| member.0 == self.me) else {
+            return Vec::new();
+        };
+        let below = members.iter().skip(position * fanout + 1).take(fanout);
+        below.filter_map(|member| member.1).collect()
+    }
+
+    /// The first host of each other domain.
+    pub(crate) fn other_leaders(&self) -> Vec<&Peer> {
+        let mut others: Vec<&Peer> =
+            self.peers.iter().filter(|peer| peer.domain_seed != self.domain_seed).collect();
+        others.sort_by_key(|peer| (peer.domain_seed, Reverse(rank_score(peer.id.0))));
+        others.dedup_by_key(|peer| peer.domain_seed);
+        others
+    }
+
+    /// How many hosts are to read before this one: the first of each domain, then the second of
+    /// each, and so on.
+    pub(crate) fn rank(&self) -> usize {
+        self.rank_of(self.me, self.domain_seed)
+    }
+
+    fn rank_of(&self, id: HostId, domain_seed: u64) -> usize {
+        let own = (self.me, self.domain_seed);
+        let hosts = || {
+            let peers = self.peers.iter().map(|peer| (peer.id, peer.domain_seed));
+            peers.chain(std::iter::once(own))
+        };
+        let score = rank_score(id.0);
+        let ahead =
+            hosts().filter(|host| host.1 == domain_seed && rank_score(host.0.0) > score).count();
+        let mut domains: Vec<u64> = hosts().map(|host| host.1).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let order = rank_score(domain_seed);
+        let before = domains.iter().filter(|domain| rank_score(**domain) > order).count();
+        ahead * domains.len() + before
+    }
+
+    /// Whether `reader` is to read before this host.
+    pub(crate) fn reads_before_me(&self, reader: HostId) -> bool {
+        let peer = self.peers.iter().find(|peer| peer.id == reader);
+        peer.is_some_and(|peer| self.rank_of(peer.id, peer.domain_seed) < self.rank())
+    }
+
+    /// The hosts of this domain, sorted, this one without an address.
+    fn domain_hosts(&self) -> Vec<(HostId, Option<SocketAddr>)> {
+        let mut members: Vec<(HostId, Option<SocketAddr>)> = self
+            .peers
+            .iter()
+            .filter(|peer| peer.domain_seed == self.domain_seed)
+            .map(|peer| (peer.id, Some(peer.address)))
+            .collect();
+        members.push((self.me, None));
+        members.sort_unstable_by_key(|member| member.0);
+        members
+    }
+}
+
+fn rank_score(number: u64) -> u64 {
+    score(READER_SEED, number)
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod assembly;
 mod config;
+mod hosts;
 mod message;
 mod recovery;
 mod relay;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,16 +4,13 @@
 
 use catalog::{Catalog, Key, Listing, Presence, Record, Row};
 use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
-use routing::{HostId, score};
+use routing::HostId;
 
 use crate::{
     Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope, assembly::Assembly,
-    recovery::Recovery,
+    hosts::Hosts, recovery::Recovery,
 };
 
-/// The number that decides which host reads first.
-const READER_SEED: u64 = 0x7265_6164_6572_7321;
-
 /// How many hosts read at the same time while the store fails and they hear of each other. The store
 /// may turn a third of the hosts away; more readers than this would only add calls.
 const FAILING_READERS_MAX: usize = 8;
@@ -44,10 +41,8 @@
 #[derive(Debug)]
 pub struct Relay {
     config: Config,
-    me: HostId,
-    domain_seed: u64,
+    hosts: Hosts,
     catalog: Catalog,
-    peers: Vec<Peer>,
     /// When the catalog was last known to be current, and the host that read it then.
     confirmed_at_ms: Option<u64>,
     confirmed_by: HostId,
@@ -75,10 +70,8 @@
     pub fn new(config: Config, me: HostId, domain_seed: u64, now_ms: u64, seed: u64) -> Relay {
         Relay {
             config,
-            me,
-            domain_seed,
+            hosts: Hosts::new(me, domain_seed),
             catalog: Catalog::default(),
-            peers: Vec::new(),
             confirmed_at_ms: None,
             confirmed_by: me,
             told_at_ms: None,
@@ -112,9 +105,8 @@
     }
 
     /// Names the other hosts that are alive.
-    pub fn set_peers(&mut self, mut peers: Vec<Peer>) {
-        peers.sort_by_key(|peer| peer.id);
-        self.peers = peers;
+    pub fn set_peers(&mut self, peers: Vec<Peer>) {
+        self.hosts.set_peers(peers);
     }
 
     /// Asks `address` for what it has, before any host is known.
@@ -140,7 +132,7 @@
             news.extend(self.catalog.mark_absent(revision, listing, is_removed));
         }
         self.catalog.advance(revision);
-        self.confirm(proven_at_ms, self.me);
+        self.confirm(proven_at_ms, self.hosts.me());
         self.note_gone(&news, now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         if news.is_empty() {
@@ -237,10 +229,10 @@
         }
         self.catalog.advance(heartbeat.revision);
         let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.transit_ms);
-        if heartbeat.reader != self.me {
+        if heartbeat.reader != self.hosts.me() {
             self.told_at_ms = self.told_at_ms.max(Some(at_ms));
         }
-        if self.reads_before_me(heartbeat.reader) {
+        if self.hosts.reads_before_me(heartbeat.reader) {
             self.told_by_earlier_at_ms = self.told_by_earlier_at_ms.max(Some(at_ms));
         }
         self.confirm(at_ms, heartbeat.reader);
@@ -330,7 +322,7 @@
     }
 
     fn push(&self, after: u64, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
-        let Some(heartbeat) = self.heartbeat(self.me, now_ms) else { return Vec::new() };
+        let Some(heartbeat) = self.heartbeat(self.hosts.me(), now_ms) else { return Vec::new() };
         self.batches(heartbeat, Scope::Changes, after, &rows)
             .into_iter()
             .flat_map(|message| self.send_out(message))
@@ -354,71 +346,38 @@
             .collect()
     }
 
-    /// The message for the hosts below this one in the tree of `root`, whose domain is this host's.
+    /// The message for the hosts below this one in the tree of `root`.
     fn send_down(&self, root: HostId, message: &Message) -> Vec<Outgoing> {
-        let mut members = self.domain_hosts();
-        let Ok(start) = members.binary_search_by_key(&root, |member| member.0) else {
-            return Vec::new();
-        };
-        members.rotate_left(start);
-        let Some(position) = members.iter().position(|member| member.0 == self.me) else {
-            return Vec::new();
-        };
-        let first = position * self.config.fanout + 1;
-        members
-            .iter()
-            .skip(first)
-            .take(self.config.fanout)
-            .filter_map(|member| member.1)
-            .map(|to| Outgoing { to, message: message.clone() })
-            .collect()
-    }
-
-    /// The hosts of this domain, sorted, this one without an address.
-    fn domain_hosts(&self) -> Vec<(HostId, Option<SocketAddr>)> {
-        let mut members: Vec<(HostId, Option<SocketAddr>)> = self
-            .peers
-            .iter()
-            .filter(|peer| peer.domain_seed == self.domain_seed)
-            .map(|peer| (peer.id, Some(peer.address)))
-            .collect();
-        members.push((self.me, None));
-        members.sort_unstable_by_key(|member| member.0);
-        members
+        let below = self.hosts.below(root, self.config.fanout);
+        below.into_iter().map(|to| Outgoing { to, message: message.clone() }).collect()
     }
 
     fn send_heartbeats(&self, now_ms: u64) -> Vec<Outgoing> {
-        let heartbeat = self.heartbeat(self.me, now_ms);
+        let heartbeat = self.heartbeat(self.hosts.me(), now_ms);
         heartbeat.map_or(Vec::new(), |heartbeat| self.send_out(Message::Heartbeat(heartbeat)))
     }
 
     /// The message of this host for its own domain, and for the leader of each other one, which
     /// passes it down the tree of its domain.
     fn send_out(&self, message: Message) -> Vec<Outgoing> {
-        let mut out = self.send_down(self.me, &message);
-        for leader in self.other_leaders() {
+        let mut out = self.send_down(self.hosts.me(), &message);
+        for leader in self.hosts.other_leaders() {
             let message = message.clone().with_root(leader.id);
             out.push(Outgoing { to: leader.address, message });
         }
         out
     }
 
-    /// The first host of each other domain.
-    fn other_leaders(&self) -> Vec<&Peer> {
-        let mut others: Vec<&Peer> =
-            self.peers.iter().filter(|peer| peer.domain_seed != self.domain_seed).collect();
-        others.sort_by_key(|peer| (peer.domain_seed, std::cmp::Reverse(rank_score(peer.id.0))));
-        others.dedup_by_key(|peer| peer.domain_seed);
-        others
-    }
-
     fn ask_if_stale(&mut self, now_ms: u64) -> Vec<Outgoing> {
         // Others are asked early enough that their answers come before the catalog is stale.
         let limit_ms = self.config.fresh_ms - self.config.answer_ms;
         let is_due = self
             .asked_at_ms
             .is_none_or(|asked_at_ms| now_ms >= asked_at_ms + 2 * self.config.answer_ms);
-        if self.age_ms(self.told_at_ms, now_ms) < limit_ms || !is_due || self.peers.is_empty() {
+        if self.age_ms(self.told_at_ms, now_ms) < limit_ms
+            || !is_due
+            || self.hosts.peers().is_empty()
+        {
             return Vec::new();
         }
         if self.role == Role::Reader && self.age_ms(self.confirmed_at_ms, now_ms) < limit_ms {
@@ -426,7 +385,7 @@
         }
         self.asked_at_ms = Some(now_ms);
         let message = Message::Pull(self.pull(Scope::Changes));
-        let mut peers = self.peers.clone();
+        let mut peers = self.hosts.peers().to_vec();
         peers.shuffle(&mut self.rng);
         peers.truncate(self.config.asked);
         peers.iter().map(|peer| Outgoing { to: peer.address, message: message.clone() }).collect()
@@ -437,7 +396,7 @@
         if self.confirmed_at_ms.is_none() && is_new {
             return Role::Listener;
         }
-        let rank = self.rank();
+        let rank = self.hosts.rank();
         let told_age_ms = self.age_ms(self.told_at_ms, now_ms);
         let is_reader = match rank {
             0 => true,
@@ -472,34 +431,6 @@
         }
     }
 
-    /// How many hosts are to read before this one: the first of each domain, then the second of
-    /// each, and so on.
-    fn rank(&self) -> usize {
-        self.rank_of(self.me, self.domain_seed)
-    }
-
-    fn rank_of(&self, id: HostId, domain_seed: u64) -> usize {
-        let own = (self.me, self.domain_seed);
-        let hosts = || {
-            let peers = self.peers.iter().map(|peer| (peer.id, peer.domain_seed));
-            peers.chain(std::iter::once(own))
-        };
-        let score = rank_score(id.0);
-        let ahead =
-            hosts().filter(|host| host.1 == domain_seed && rank_score(host.0.0) > score).count();
-        let mut domains: Vec<u64> = hosts().map(|host| host.1).collect();
-        domains.sort_unstable();
-        domains.dedup();
-        let order = rank_score(domain_seed);
-        let before = domains.iter().filter(|domain| rank_score(**domain) > order).count();
-        ahead * domains.len() + before
-    }
-
-    fn reads_before_me(&self, reader: HostId) -> bool {
-        let peer = self.peers.iter().find(|peer| peer.id == reader);
-        peer.is_some_and(|peer| self.rank_of(peer.id, peer.domain_seed) < self.rank())
-    }
-
     fn note_gone(&mut self, news: &[Row], now_ms: u64) {
         let gone = news.iter().filter(|row| row.presence == Presence::Gone);
         self.gone.extend(gone.map(|row| (now_ms, row.record.key())));
@@ -517,7 +448,3 @@
         });
     }
 }
-
-fn rank_score(number: u64) -> u64 {
-    score(READER_SEED, number)
-}
--- a/crates/tagged/src/traffic.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -1,12 +1,14 @@
 //! What happens to each packet of a caller.
 
-use catalog::{Directory, Listener, Presence, TargetId, TargetIndex};
+mod placing;
+
+use catalog::{Directory, Presence, TargetId, TargetIndex};
 use hashbrown::HashMap;
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng};
 
 use crate::{
-    Candidate, CheckVerdict, Config, Counter, Counters, Doubt, DueCheck, Event, Health, HostLoad,
-    LoadBoard, Reason, Segment, SegmentKind, Standing, TargetLoad, Verdict, choose,
+    CheckVerdict, Config, Counter, Counters, DueCheck, Event, Health, HostLoad, LoadBoard, Reason,
+    Segment, SegmentKind, Standing, TargetLoad, Verdict,
     flows::{FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
@@ -16,16 +18,6 @@
 /// after 200 ms, several times a round trip.
 const STALLED_REPEATS: u8 = 1;
 
-/// How much a request under way counts beside an open flow: an open flow of the users' boards has a
-/// request under way about a tenth of the time.
-const BUSY_WEIGHT: f64 = 0.5;
-
-/// How much more each flow counts at a target that is slow after its start: by so much it is slower.
-const WARMUP_FACTOR: f64 = 1.6;
-
-/// How many silent targets make their whole failure domain doubtful.
-const SILENT_TARGETS: usize = 2;
-
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
@@ -345,121 +337,6 @@
         Verdict::Drop(Reason::StaleView)
     }
 
-    fn place(
-        &mut self,
-        view: View<'_>,
-        listener: &Listener,
-        tried: &[TargetId],
-        now_ms: u64,
-    ) -> Option<TargetIndex> {
-        let service_seed = self.draw_service(listener)?;
-        let ties = self.rng.random();
-        let tried_domains: Vec<u64> = tried
-            .iter()
-            .filter_map(|target| view.directory.find_target(*target))
-            .map(|index| view.directory.target(index).domain_seed)
-            .collect();
-        let silent_domains = self.silent_domains(view, now_ms);
-        let candidates: Vec<Candidate> = view
-            .directory
-            .open_targets(service_seed)
-            .map(|index| {
-                let target = view.directory.target(index);
-                let is_near = target.domain_seed == self.config.domain_seed;
-                let doubt = match self.health.standing(target.id) {
-                    _ if tried.contains(&target.id) => Doubt::Tried,
-                    Standing::Dead => Doubt::Dead,
-                    Standing::Suspect => Doubt::Suspect,
-                    Standing::Good if silent_domains.contains(&target.domain_seed) => {
-                        Doubt::DomainSilent
-                    }
-                    Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
-                        Doubt::DomainTried
-                    }
-                    Standing::Good => Doubt::None,
-                };
-                let load = self.load(target.id, target.slots);
-                Candidate { index, is_near, doubt, load }
-            })
-            .collect();
-        let candidates = self.ramp(view, candidates, now_ms);
-        choose(&candidates, ties)
-    }
-
-    /// The other failure domains of which several targets are silent and none is heard: cut off from
-    /// this host.
-    fn silent_domains(&self, view: View<'_>, now_ms: u64) -> Vec<u64> {
-        let since_ms = now_ms.saturating_sub(self.config.heard_ms);
-        let mut silent: Vec<u64> = Vec::new();
-        let mut heard: Vec<u64> = Vec::new();
-        for position in 0..view.directory.target_count() {
-            let target = view.directory.target(TargetIndex(position));
-            if target.domain_seed == self.config.domain_seed {
-                continue;
-            }
-            if self.health.is_heard_since(target.id, since_ms) {
-                heard.push(target.domain_seed);
-            } else if self.health.standing(target.id) != Standing::Good {
-                silent.push(target.domain_seed);
-            }
-        }
-        silent.sort_unstable();
-        let several = silent.chunk_by(|left, right| left == right);
-        several
-            .filter(|domain| domain.len() >= SILENT_TARGETS && !heard.contains(&domain[0]))
-            .map(|domain| domain[0])
-            .collect()
-    }
-
-    fn draw_service(&mut self, listener: &Listener) -> Option<u64> {
-        let total: u32 = listener.shares.iter().map(|share| share.weight).sum();
-        if total == 0 {
-            return None;
-        }
-        let mut drawn = self.rng.random_range(0..total);
-        for share in &listener.shares {
-            if drawn < share.weight {
-                return Some(share.service_seed);
-            }
-            drawn -= share.weight;
-        }
-        None
-    }
-
-    /// Lets targets that are slow after their start take flows little by little.
-    ///
-    /// Load pattern: a target is replaced, its flows all open again within a second, and the new
-    /// target, which is empty and slow, would get them all. It counts as full as the others are on
-    /// average when it starts, and less and less so until it is warm.
-    fn ramp(&self, view: View<'_>, mut candidates: Vec<Candidate>, now_ms: u64) -> Vec<Candidate> {
-        let cold = |candidate: &Candidate| {
-            let warmup = self.warmups.get(&view.directory.target(candidate.index).id)?;
-            let left_ms = warmup.ends_at_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
-            Some(left_ms as f64 / f64::from(warmup.total_ms))
-        };
-        let warm: Vec<f64> = candidates
-            .iter()
-            .filter(|candidate| cold(candidate).is_none())
-            .map(|candidate| candidate.load)
-            .collect();
-        let mean = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
-        for candidate in &mut candidates {
-            if let Some(share) = cold(candidate) {
-                candidate.load = candidate.load * WARMUP_FACTOR + mean * share;
-            }
-        }
-        candidates
-    }
-
-    /// The flows for each slot of `target`, as all hosts see them.
-    fn load(&self, target: TargetId, slots: u16) -> f64 {
-        let own = self.own.get(&target).copied().unwrap_or_default();
-        let others = self.others.get(target);
-        let flows = f64::from(own.flows + others.flows);
-        let busy = f64::from(own.busy + others.busy);
-        (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
-    }
-
     fn observe(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
         let known = self.flows.get(&segment.key).copied();
         if known.is_none_or(|flow| flow.target != target) {
