Take targets that vanish together for lapsed

More than half of all targets at once now count as lapsed, and become gone only after the usual 2.5 s (test unnoticed_outage fails without it).

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,6 +15,10 @@
 /// may turn a third of the hosts away; more readers than this would only add calls.
 const FAILING_READERS_MAX: usize = 8;
 
+/// From how many targets on, and if they are more than half of all, targets that vanish at once
+/// count as lapsed.
+const MASS_LAPSE_MIN: usize = 2;
+
 /// Whether a host reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -117,6 +121,10 @@
     /// Takes over what this host read from the store and gives the messages that spread it.
     pub fn on_changes(&mut self, changes: Changes, now_ms: u64) -> Vec<Outgoing> {
         let Changes { revision, listed, removed, proven_at_ms } = changes;
+        if self.is_mass_lapse(&removed) {
+            // An outage shorter than a waiting read fails no call.
+            self.recovery.on_failure();
+        }
         self.recovery.on_answer(now_ms);
         let listing = self.recovery.listing(now_ms);
         let after = self.catalog.revision();
@@ -178,6 +186,21 @@
         out
     }
 
+    /// Whether so many targets vanish at once that the store must have been away: targets leave or
+    /// die a few at a time.
+    fn is_mass_lapse(&self, removed: &[(u64, Key)]) -> bool {
+        let is_target = |key: &Key| matches!(key, Key::Target(_));
+        let is_listed = |row: &&Row| row.presence == Presence::Listed;
+        let rows = self.catalog.rows().iter().filter(is_listed);
+        let listed = rows.filter(|row| is_target(&row.record.key())).count();
+        let vanished = removed
+            .iter()
+            .filter(|(_, key)| is_target(key))
+            .filter(|(_, key)| self.catalog.get(*key).as_ref().is_some_and(is_listed))
+            .count();
+        vanished >= MASS_LAPSE_MIN && vanished * 2 > listed
+    }
+
     /// Takes targets that lapsed for gone, once the store has been well for long enough.
     fn settle(&mut self, now_ms: u64) -> Vec<Outgoing> {
         if self.recovery.listing(now_ms) == Listing::Provisional {
--- a/crates/relay/tests/store_outage.rs
+++ b/crates/relay/tests/store_outage.rs
@@ -55,3 +55,20 @@
     // At most three hosts of each of the three failure domains try, each twice a second.
     assert!(fleet.reads - before <= 3 * 3 * 20 + 9, "{} reads", fleet.reads - before);
 }
+
+#[test]
+fn unnoticed_outage() {
+    let mut fleet = settled_fleet(9);
+    // The store was away for less than a waiting read takes: no call failed.
+    (1..=5).for_each(|id| fleet.remove(id));
+    let never_gone = |fleet: &Fleet| {
+        for index in 0..fleet.len() {
+            for id in 1..=5 {
+                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
+            }
+        }
+    };
+    fleet.run(1_900, never_gone);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(5_000, never_gone);
+}
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -18,6 +18,9 @@
 /// after 200 ms, several times a round trip.
 const STALLED_REPEATS: u8 = 1;
 
+/// How often tables are swept, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
@@ -69,15 +72,13 @@
     total_ms: u32,
 }
 
+/// The flows of one target that this host sees.
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnLoad {
     flows: u32,
     busy: u32,
 }
 
-/// How often tables are swept, in milliseconds.
-const SWEEP_MS: u64 = 500;
-
 impl Traffic {
     /// Creates the state. `seed` makes its choices repeatable.
     pub fn new(config: Config, seed: u64) -> Traffic {
@@ -348,8 +349,7 @@
         let signal = self.flows.update(segment, now_ms);
         let is_busy = self.flows.get(&segment.key).is_some_and(|flow| flow.is_busy);
         let own = self.own.entry(target).or_default();
-        own.busy =
-            own.busy + u32::from(is_busy) - u32::from(was_busy).min(own.busy + u32::from(is_busy));
+        own.busy = (own.busy + u32::from(is_busy)).saturating_sub(u32::from(was_busy));
         let has_changed = match signal {
             Signal::None => false,
             Signal::Progress => self.health.on_progress(target, now_ms),
--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -21,3 +21,15 @@
 fn short_run() {
     check(1, 8);
 }
+
+/// A leaving target was announced as ready again after an outage, by the bed.
+#[test]
+fn seed_15() {
+    check(15, 12);
+}
+
+/// The store was away for less than a waiting read: all targets counted as gone at once.
+#[test]
+fn seed_36() {
+    check(36, 12);
+}
