--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -35,12 +35,12 @@
 /// How often control state advances, in milliseconds.
 const TICK_MS: u64 = 100;
 
-/// How soon after another a directory may be published, in milliseconds.
-const PUBLISH_MS: u64 = 50;
-
 /// The same while the host has no directory and callers wait for it.
 const NEWCOMER_TICK_MS: u64 = 10;
 
+/// How soon after another a directory may be published, in milliseconds.
+const PUBLISH_MS: u64 = 50;
+
 /// A gap between two ticks after which waiting datagrams say nothing about the present, in
 /// milliseconds.
 const PAUSE_MS: u64 = 500;
@@ -65,7 +65,7 @@
 /// The largest datagram between hosts, in bytes.
 const DATAGRAM_BYTES: usize = 32_768;
 
-/// Within how many bits the number of a datagram counts within one millisecond of starts.
+/// How many bits of a datagram's number count within one millisecond of the host's start.
 const NUMBER_SHIFT: u32 = 20;
 
 /// The directory that the data thread was given last.
