--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -122,6 +122,12 @@
         self.tags.unique_tag(self.target(index).id)
     }
 
+    /// Whether any target of `listener` is known, also one that takes no new flows.
+    pub fn has_targets(&self, listener: &Listener) -> bool {
+        let is_served = |seed: u64| listener.shares.iter().any(|share| share.service_seed == seed);
+        self.targets.iter().any(|(target, _)| is_served(target.service_seed))
+    }
+
     /// The targets of the service `seed` that may take new flows.
     pub fn open_targets(&self, seed: u64) -> impl Iterator<Item = TargetIndex> + '_ {
         let start = self.open.partition_point(|entry| entry.0 < seed);
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -272,7 +272,11 @@
             }
         }
         let Some(index) = self.place(view, listener, &tried, now_ms) else {
-            return self.refuse(view, Reason::NoTarget);
+            return match view.directory.has_targets(listener) {
+                true => self.refuse(view, Reason::NoTarget),
+                // Announcements that lapsed in an outage come back; the caller's copy may find them.
+                false => Verdict::Drop(Reason::NoTarget),
+            };
         };
         let target = view.directory.target(index);
         let Some(tag) = view.directory.tag_for(index) else {
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -4,8 +4,8 @@
 
 use std::collections::HashSet;
 
-use catalog::TargetId;
-use support::{FAR, Host, NEAR, data, opening};
+use catalog::{Record, Stage, TargetId};
+use support::{FAR, Host, NEAR, data, opening, rows};
 use tagged::{CheckVerdict, Reason, Verdict};
 
 #[test]
@@ -109,3 +109,18 @@
     host.now_ms += 200;
     assert_eq!(host.open(caller, 1).0.0, 4, "the next try avoids the failure domain");
 }
+
+#[test]
+fn no_target() {
+    // Nothing was announced yet, or all of it lapsed before this host started.
+    let mut host = Host::new(&[]);
+    assert_eq!(host.send(&opening(1, 0)), Verdict::Drop(Reason::NoTarget));
+    let mut leaving = rows(&[(1, NEAR)]);
+    for row in &mut leaving {
+        if let Record::Target(target) = &mut row.record {
+            target.stage = Stage::Draining;
+        }
+    }
+    host.set_rows(leaving);
+    assert_eq!(host.send(&opening(1, 0)), Verdict::Reset(Reason::NoTarget));
+}
