--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -33,3 +33,9 @@
 fn seed_36() {
     check(36, 12);
 }
+
+/// The soak waited for a planned stop and announced lapsed targets too late.
+#[test]
+fn seed_126() {
+    check(126, 12);
+}
