Do not take rows for gone that the sender of all rows never knew

Rows that are not listed no longer count in the digest; what a full transfer lacks lapses first, and counts as gone when the catalog was confirmed 5 s later. Test newcomer_in_outage.

--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -118,13 +118,13 @@
     }
 }
 
-// Gone rows do not count: hosts forget them at different times. Revisions do not count: a record that
-// was written again without a change is the same.
+// Rows that are not listed do not count: hosts that started at different times know different ones.
+// Revisions do not count: a record that was written again without a change is the same.
 fn fingerprint(row: &Row) -> u64 {
-    if row.presence == Presence::Gone {
+    if row.presence != Presence::Listed {
         return 0;
     }
-    let mut bytes = vec![row.presence as u8];
+    let mut bytes = Vec::new();
     row.record.write_bytes(&mut bytes);
     let mut digest = [0; 8];
     digest.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -28,6 +28,9 @@
     pub asked: usize,
     /// How many rows one datagram carries at most; a row takes about 100 bytes.
     pub rows_per_batch: usize,
+    /// How long after a target lapsed a confirmation of the catalog means that it is gone: twice the
+    /// time in which announcements come back.
+    pub lapsed_ms: u64,
     /// How long rows that are gone are remembered: longer than a flow lives.
     pub gone_ms: u64,
 }
@@ -45,6 +48,7 @@
             pull_ms: 300,
             asked: 3,
             rows_per_batch: 64,
+            lapsed_ms: 5_000,
             gone_ms: 75_000,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -65,6 +65,8 @@
     next_heartbeat_ms: u64,
     assembly: Option<Assembly>,
     recovery: Recovery,
+    /// The targets that lapsed and the rows that are gone, with when that was noted.
+    lapsed: Vec<(u64, Key)>,
     gone: Vec<(u64, Key)>,
     rng: StdRng,
 }
@@ -88,6 +90,7 @@
             next_heartbeat_ms: 0,
             assembly: None,
             recovery: Recovery::default(),
+            lapsed: Vec::new(),
             gone: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
         }
@@ -141,7 +144,7 @@
         }
         self.catalog.advance(revision);
         self.confirm(proven_at_ms, self.hosts.me());
-        self.note_gone(&news, now_ms);
+        self.note_absent(&news, now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         if news.is_empty() {
             return self.send_heartbeats(now_ms);
@@ -172,6 +175,7 @@
     /// Advances to `now_ms`: heartbeats, questions, the role.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         self.forget_gone(now_ms);
+        self.expire_lapsed(now_ms);
         let mut out = self.ask_if_stale(now_ms);
         self.role = self.decide_role(now_ms);
         if self.role == Role::Listener {
@@ -209,7 +213,7 @@
         let revision = self.catalog.revision();
         let is_lapsed = |row: &Row| row.presence == Presence::Lapsed;
         let news = self.catalog.mark_absent(revision, Listing::Conclusive, is_lapsed);
-        self.note_gone(&news, now_ms);
+        self.note_absent(&news, now_ms);
         if news.is_empty() { Vec::new() } else { self.push(revision, news, now_ms) }
     }
 
@@ -310,7 +314,7 @@
             let next = RowBatch { heartbeat, ..batch.clone() };
             out.extend(self.send_down(root, &Message::Rows(next)));
         }
-        self.note_gone(&news, now_ms);
+        self.note_absent(&news, now_ms);
         if !self.is_complete(sender, &batch, now_ms) {
             return out;
         }
@@ -337,9 +341,11 @@
             let mut keys = assembly.keys;
             keys.sort_unstable();
             let revision = batch.heartbeat.revision;
-            self.catalog.mark_absent(revision, Listing::Conclusive, |row| {
+            // The sender may have started in an outage and never have known what lapsed.
+            let news = self.catalog.mark_absent(revision, Listing::Provisional, |row| {
                 keys.binary_search(&row.record.key()).is_err()
             });
+            self.note_absent(&news, now_ms);
         }
         true
     }
@@ -454,9 +460,32 @@
         }
     }
 
-    fn note_gone(&mut self, news: &[Row], now_ms: u64) {
-        let gone = news.iter().filter(|row| row.presence == Presence::Gone);
-        self.gone.extend(gone.map(|row| (now_ms, row.record.key())));
+    /// Notes when rows lapsed and when they were gone.
+    fn note_absent(&mut self, news: &[Row], now_ms: u64) {
+        for row in news {
+            match row.presence {
+                Presence::Listed => {}
+                Presence::Lapsed => self.lapsed.push((now_ms, row.record.key())),
+                Presence::Gone => self.gone.push((now_ms, row.record.key())),
+            }
+        }
+    }
+
+    /// Takes targets for gone that lapsed long before the catalog was last known to be current: the
+    /// reader's word may have been lost, or the reader never knew them.
+    fn expire_lapsed(&mut self, now_ms: u64) {
+        let Some(confirmed_at_ms) = self.confirmed_at_ms else { return };
+        let is_old = |entry: &(u64, Key)| entry.0 + self.config.lapsed_ms <= confirmed_at_ms;
+        let old = self.lapsed.partition_point(is_old);
+        if old == 0 {
+            return;
+        }
+        let keys: Vec<Key> = self.lapsed.drain(..old).map(|entry| entry.1).collect();
+        let revision = self.catalog.revision();
+        let news = self.catalog.mark_absent(revision, Listing::Conclusive, |row| {
+            row.presence == Presence::Lapsed && keys.contains(&row.record.key())
+        });
+        self.note_absent(&news, now_ms);
     }
 
     fn forget_gone(&mut self, now_ms: u64) {
--- a/crates/relay/tests/store_outage.rs
+++ b/crates/relay/tests/store_outage.rs
@@ -72,3 +72,23 @@
     (1..=5).for_each(|id| fleet.announce(id));
     fleet.run(5_000, never_gone);
 }
+
+#[test]
+fn newcomer_in_outage() {
+    let mut fleet = settled_fleet(9);
+    let newcomer = (0..9).find(|index| !fleet.readers().contains(index)).expect("nine hosts");
+    (1..=5).for_each(|id| fleet.remove(id));
+    fleet.run(200, |_| {});
+    // It reads the store while nothing is announced, and never hears of what lapsed.
+    fleet.restart(newcomer);
+    let never_gone = |fleet: &Fleet| {
+        for index in (0..fleet.len()).filter(|index| *index != newcomer) {
+            for id in 1..=5 {
+                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
+            }
+        }
+    };
+    fleet.run(1_700, never_gone);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(6_000, never_gone);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -131,6 +131,22 @@
         self.hosts[index].is_paused = is_paused;
     }
 
+    /// Starts a host again that knows nothing but who else is there.
+    pub fn restart(&mut self, index: usize) {
+        let peers: Vec<Peer> = (0..self.hosts.len())
+            .filter(|other| *other != index)
+            .map(|other| Peer {
+                id: self.hosts[other].id,
+                address: address(other),
+                domain_seed: self.hosts[other].domain_seed,
+            })
+            .collect();
+        let host = &mut self.hosts[index];
+        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
+        host.relay = Relay::new(config, host.id, host.domain_seed, self.now_ms, host.id.0);
+        host.relay.set_peers(peers);
+    }
+
     /// The hosts that read the store.
     pub fn readers(&self) -> Vec<usize> {
         let is_reader = |index: &usize| self.hosts[*index].relay.role() == Role::Reader;
