--- a/crates/relay/tests/store_outage.rs
+++ b/crates/relay/tests/store_outage.rs
@@ -12,6 +12,15 @@
     fleet
 }
 
+/// No host takes any of the five targets for gone.
+fn never_gone(fleet: &Fleet) {
+    for index in 0..fleet.len() {
+        for id in 1..=5 {
+            assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
+        }
+    }
+}
+
 #[test]
 fn lapsed_then_back() {
     let mut fleet = settled_fleet(9);
@@ -20,13 +29,6 @@
     // All announcements lapse meanwhile and come back within two seconds of the return.
     (1..=5).for_each(|id| fleet.remove(id));
     fleet.store = Store::Well;
-    let never_gone = |fleet: &Fleet| {
-        for index in 0..fleet.len() {
-            for id in 1..=5 {
-                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
-            }
-        }
-    };
     fleet.run(1_900, never_gone);
     (1..=5).for_each(|id| fleet.announce(id));
     fleet.run(5_000, never_gone);
@@ -61,13 +63,6 @@
     let mut fleet = settled_fleet(9);
     // The store was away for less than a waiting read takes: no call failed.
     (1..=5).for_each(|id| fleet.remove(id));
-    let never_gone = |fleet: &Fleet| {
-        for index in 0..fleet.len() {
-            for id in 1..=5 {
-                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "host {index}");
-            }
-        }
-    };
     fleet.run(1_900, never_gone);
     (1..=5).for_each(|id| fleet.announce(id));
     fleet.run(5_000, never_gone);
