Count the time of a lapse from the last one

A target that lapsed, came back and lapsed again within 5 s was taken for gone by the time of its first lapse: entries were appended to a list and never taken out. Found on reading. Rows now stand in a sorted table of the moment at which they came into their state, and leave it when they are listed again.

relay store_outage lapsed_twice fails before (Gone at 7.5 s) and passes now.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod message;
 mod recovery;
 mod relay;
+mod since;
 
 pub use crate::{
     config::Config,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope, assembly::Assembly,
-    hosts::Hosts, recovery::Recovery,
+    hosts::Hosts, recovery::Recovery, since::Since,
 };
 
 /// How many hosts read at the same time while the store fails and they hear of each other. The store
@@ -67,9 +67,9 @@
     next_heartbeat_ms: u64,
     assembly: Option<Assembly>,
     recovery: Recovery,
-    /// The targets that lapsed and the rows that are gone, with when that was noted.
-    lapsed: Vec<(u64, Key)>,
-    gone: Vec<(u64, Key)>,
+    /// Since when targets have lapsed, and rows have been gone.
+    lapsed: Since,
+    gone: Since,
     rng: StdRng,
 }
 
@@ -92,8 +92,8 @@
             next_heartbeat_ms: 0,
             assembly: None,
             recovery: Recovery::default(),
-            lapsed: Vec::new(),
-            gone: Vec::new(),
+            lapsed: Since::default(),
+            gone: Since::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
--- a/crates/relay/src/relay/absence.rs
+++ b/crates/relay/src/relay/absence.rs
@@ -5,42 +5,47 @@
 use super::Relay;
 
 impl Relay {
-    /// Notes when rows lapsed and when they were gone.
+    /// Notes since when rows are listed, lapsed or gone.
     pub(super) fn note_absent(&mut self, news: &[Row], now_ms: u64) {
-        for row in news {
-            match row.presence {
-                Presence::Listed => {}
-                Presence::Lapsed => self.lapsed.push((now_ms, row.record.key())),
-                Presence::Gone => self.gone.push((now_ms, row.record.key())),
-            }
+        if news.is_empty() {
+            return;
         }
+        let mut changed: Vec<Key> = news.iter().map(|row| row.record.key()).collect();
+        changed.sort_unstable();
+        let is_changed = |key: Key| changed.binary_search(&key).is_ok();
+        self.lapsed.remove(is_changed);
+        self.gone.remove(is_changed);
+        let of = |presence: Presence| {
+            let rows = news.iter().filter(move |row| row.presence == presence);
+            rows.map(|row| row.record.key())
+        };
+        self.lapsed.add(of(Presence::Lapsed), now_ms);
+        self.gone.add(of(Presence::Gone), now_ms);
     }
 
     /// Takes targets for gone that lapsed long before the catalog was last known to be current: the
     /// reader's word may have been lost, or the reader never knew them.
     pub(super) fn expire_lapsed(&mut self, now_ms: u64) {
         let Some(confirmed_at_ms) = self.confirmed_at_ms else { return };
-        let is_old = |entry: &(u64, Key)| entry.0 + self.config.lapsed_ms <= confirmed_at_ms;
-        let old = self.lapsed.partition_point(is_old);
-        if old == 0 {
+        let Some(since_ms) = confirmed_at_ms.checked_sub(self.config.lapsed_ms) else { return };
+        let keys = self.lapsed.take_since(since_ms);
+        if keys.is_empty() {
             return;
         }
-        let keys: Vec<Key> = self.lapsed.drain(..old).map(|entry| entry.1).collect();
         let revision = self.catalog.revision();
         let news = self.catalog.mark_absent(revision, Listing::Conclusive, |row| {
-            row.presence == Presence::Lapsed && keys.contains(&row.record.key())
+            row.presence == Presence::Lapsed && keys.binary_search(&row.record.key()).is_ok()
         });
         self.note_absent(&news, now_ms);
     }
 
     /// Forgets rows that have been gone for longer than a flow lives.
     pub(super) fn forget_gone(&mut self, now_ms: u64) {
-        let old = self.gone.partition_point(|entry| entry.0 + self.config.gone_ms <= now_ms);
-        if old == 0 {
+        let Some(since_ms) = now_ms.checked_sub(self.config.gone_ms) else { return };
+        let keys = self.gone.take_since(since_ms);
+        if keys.is_empty() {
             return;
         }
-        let mut keys: Vec<Key> = self.gone.drain(..old).map(|entry| entry.1).collect();
-        keys.sort_unstable();
         self.catalog.forget(|row| {
             row.presence == Presence::Gone && keys.binary_search(&row.record.key()).is_ok()
         });
--- a/crates/relay/tests/store_outage.rs
+++ b/crates/relay/tests/store_outage.rs
@@ -87,3 +87,19 @@
     (1..=5).for_each(|id| fleet.announce(id));
     fleet.run(6_000, never_gone);
 }
+
+#[test]
+fn lapsed_twice() {
+    let mut fleet = settled_fleet(9);
+    for _ in 0..2 {
+        // Each outage is shorter than a waiting read and ends two seconds later.
+        (1..=5).for_each(|id| fleet.remove(id));
+        fleet.run(1_900, never_gone);
+        (1..=5).for_each(|id| fleet.announce(id));
+        fleet.run(1_800, never_gone);
+    }
+    (1..=5).for_each(|id| fleet.remove(id));
+    fleet.run(1_900, never_gone);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(5_000, never_gone);
+}
