Let hosts that have just started read the store once

Cause: when all hosts start at once, each knows nobody, takes itself for the first reader and follows the store by waiting reads, each answered at once while targets and settings are written.

A host that has just read the store is as current as one that hears of it. For 4 s after its start it reads again only when its view is no longer fresh, and by then it knows the others.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -16,6 +16,9 @@
     /// How long a host that knows nothing gives others to answer before it reads the store: a few
     /// round trips, since callers wait for it.
     pub newcomer_ms: u64,
+    /// How long after its start a host takes others for not found yet, so that its rank among them
+    /// says little: membership needs a few probes.
+    pub settle_ms: u64,
     /// By how much each further host waits longer before it reads as well; a reading and its push
     /// take less.
     pub rank_step_ms: u64,
@@ -43,6 +46,7 @@
             transit_ms: 80,
             answer_ms: 200,
             newcomer_ms: 10,
+            settle_ms: 4_000,
             rank_step_ms: 130,
             fanout: 4,
             pull_ms: 300,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -147,6 +147,7 @@
         self.catalog.advance(revision);
         self.confirm(proven_at_ms, self.hosts.me());
         self.note_absent(&news, now_ms);
+        self.role = self.decide_role(now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         if news.is_empty() {
             return self.send_heartbeats(now_ms);
@@ -427,6 +428,12 @@
         if self.confirmed_at_ms.is_none() && is_new {
             return Role::Listener;
         }
+        // All hosts start at once after an outage of power, and each takes itself for the first. What
+        // one has just read is as good as what it would hear.
+        let is_settling = now_ms < self.started_at_ms + self.config.settle_ms;
+        if is_settling && self.age_ms(self.confirmed_at_ms, now_ms) < self.config.fresh_ms {
+            return Role::Listener;
+        }
         let rank = self.hosts.rank();
         let told_age_ms = self.age_ms(self.told_at_ms, now_ms);
         let is_reader = match rank {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -147,6 +147,21 @@
         host.relay.set_peers(peers);
     }
 
+    /// Lets each host know only `known` of the others.
+    pub fn introduce(&mut self, known: std::ops::Range<usize>) {
+        for index in 0..self.hosts.len() {
+            let others = known.clone().filter(|other| *other != index);
+            let peers = others
+                .map(|other| Peer {
+                    id: self.hosts[other].id,
+                    address: address(other),
+                    domain_seed: self.hosts[other].domain_seed,
+                })
+                .collect();
+            self.hosts[index].relay.set_peers(peers);
+        }
+    }
+
     /// The hosts that read the store.
     pub fn readers(&self) -> Vec<usize> {
         let is_reader = |index: &usize| self.hosts[*index].relay.role() == Role::Reader;
--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -14,6 +14,23 @@
     assert_eq!(fleet.readers().len(), 1, "one reader for all, not {:?}", fleet.readers());
 }
 
+#[test]
+fn herd_start() {
+    let mut fleet = Fleet::new(60, 3, 1);
+    // All hosts start at once and know no other until membership has spread.
+    fleet.introduce(0..0);
+    (1..=5).for_each(|id| fleet.announce(id));
+    fleet.run(2_500, |_| {});
+    fleet.introduce(0..60);
+    fleet.run(5_000, |_| {});
+    for index in 0..fleet.len() {
+        assert_eq!(fleet.presence(index, 5), Some(Presence::Listed), "host {index}");
+    }
+    assert_eq!(fleet.readers().len(), 1, "one reader for all, not {:?}", fleet.readers());
+    // Each reads when it starts and perhaps once more; the one reader each 500 ms.
+    assert!(fleet.reads <= 2 * 60 + 20, "{} reads", fleet.reads);
+}
+
 #[test]
 fn cut_domains() {
     let mut fleet = Fleet::new(12, 3, 4);
