Let a host that knows nothing read the store at once

Cause: a host that has just started and heard of another one waited for 200 ms and 130 ms a rank before it read the store. After an outage of power the others know as little.

Ruled out: processor time (the host was idle meanwhile), the store (21 ms).

Now it waits 10 ms for answers and 2 ms for each host ahead of it. relay views few_introduced: no host had a catalog after 100 ms before, all have one now.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -16,6 +16,9 @@
     /// How long a host that knows nothing gives others to answer before it reads the store: a few
     /// round trips, since callers wait for it.
     pub newcomer_ms: u64,
+    /// By how much longer for each host that is to read before it: the reading of one takes about as
+    /// long, and its push may save the next one's.
+    pub newcomer_step_ms: u64,
     /// How long after its start a host takes others for not found yet, so that its rank among them
     /// says little: membership needs a few probes.
     pub settle_ms: u64,
@@ -46,6 +49,7 @@
             transit_ms: 80,
             answer_ms: 200,
             newcomer_ms: 10,
+            newcomer_step_ms: 2,
             settle_ms: 4_000,
             rank_step_ms: 130,
             fanout: 4,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -424,9 +424,12 @@
     }
 
     fn decide_role(&self, now_ms: u64) -> Role {
-        let is_new = now_ms < self.started_at_ms + self.config.newcomer_ms;
-        if self.confirmed_at_ms.is_none() && is_new {
-            return Role::Listener;
+        let rank = self.hosts.rank();
+        if self.confirmed_at_ms.is_none() {
+            // Callers wait for it, and whom it has heard of may know as little.
+            let wait_ms = self.config.newcomer_ms + rank as u64 * self.config.newcomer_step_ms;
+            let is_due = now_ms >= self.started_at_ms + wait_ms;
+            return if is_due { Role::Reader } else { Role::Listener };
         }
         // All hosts start at once after an outage of power, and each takes itself for the first. What
         // one has just read is as good as what it would hear.
@@ -434,7 +437,6 @@
         if is_settling && self.age_ms(self.confirmed_at_ms, now_ms) < self.config.fresh_ms {
             return Role::Listener;
         }
-        let rank = self.hosts.rank();
         let told_age_ms = self.age_ms(self.told_at_ms, now_ms);
         let is_reader = match rank {
             0 => true,
--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -31,6 +31,19 @@
     assert!(fleet.reads <= 2 * 60 + 20, "{} reads", fleet.reads);
 }
 
+#[test]
+fn few_introduced() {
+    let mut fleet = Fleet::new(60, 3, 1);
+    // Each has heard of three others that have just started as well and do not know it yet.
+    fleet.introduce(0..3);
+    (1..=5).for_each(|id| fleet.announce(id));
+    // Callers send openings again after 200 ms.
+    fleet.run(100, |_| {});
+    for index in 0..fleet.len() {
+        assert_eq!(fleet.presence(index, 5), Some(Presence::Listed), "host {index}");
+    }
+}
+
 #[test]
 fn cut_domains() {
     let mut fleet = Fleet::new(12, 3, 4);
