Push every change since the last reading, and list again what others call lapsed

Cause: a host that read the store pushed only what was news to it, as all that had changed since its revision. What it had heard from others before, out of order, was left out. A receiver took the push for complete, and whoever asked it for all rows took the missing targets for lapsed, with a newer revision than their announcement: all hosts held living targets for gone 5 s later and reset their flows.

Ruled out: the listing in pages (one page), the store's revision of a page.

- A push holds every row that changed after the revision that it names; a first reading tells its digest instead.
- What a reading lists counts again, whoever called it lapsed meanwhile.
- A reader that is told of an absence which it did not read lists everything.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -76,6 +76,11 @@
         &self.relay
     }
 
+    /// Whether the store has to be listed anew.
+    pub(crate) fn take_contradiction(&mut self) -> bool {
+        self.relay.take_contradiction()
+    }
+
     pub(crate) fn members(&self) -> &membership::Table {
         self.membership.table()
     }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -42,6 +42,7 @@
             state.role_changed().await;
             continue;
         }
+        is_following &= !state.with_core(|core| core.take_contradiction());
         match read_once::<P>(&state, &mut store, is_following.then_some(wait_ms)).await {
             Ok(has_changes) => {
                 is_following = true;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -67,6 +67,8 @@
     next_heartbeat_ms: u64,
     assembly: Option<Assembly>,
     recovery: Recovery,
+    /// Whether others have called something absent that this host did not read so.
+    is_contradicted: bool,
     /// Since when targets have lapsed, and rows have been gone.
     lapsed: Since,
     gone: Since,
@@ -92,6 +94,7 @@
             next_heartbeat_ms: 0,
             assembly: None,
             recovery: Recovery::default(),
+            is_contradicted: false,
             lapsed: Since::default(),
             gone: Since::default(),
             rng: StdRng::seed_from_u64(seed),
@@ -134,8 +137,12 @@
         let listing = self.recovery.listing(now_ms);
         let after = self.catalog.revision();
         let mut news = Vec::new();
-        for (revision, record) in listed {
-            let row = Row { revision, presence: Presence::Listed, record };
+        for (written, record) in listed {
+            let key = record.key();
+            let is_overruled = self.is_overruled(key, written, revision)
+                && !removed.iter().any(|entry| entry.1 == key);
+            let written = if is_overruled { revision } else { written };
+            let row = Row { revision: written, presence: Presence::Listed, record };
             if self.catalog.merge(row.clone()) {
                 news.push(row);
             }
@@ -149,10 +156,28 @@
         self.note_absent(&news, now_ms);
         self.role = self.decide_role(now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
-        if news.is_empty() {
+        // Everything is news at the first reading. Others read as well or know more.
+        if news.is_empty() || after == 0 {
             return self.send_heartbeats(now_ms);
         }
-        self.push(after, news, now_ms)
+        // Some of what changed since may have come from others, and is no news here.
+        let rows = self.catalog.changed_after(after).cloned().collect();
+        self.push(after, rows, now_ms)
+    }
+
+    /// Whether another host took a record for absent after it was written, although the store lists
+    /// it as of `revision`.
+    fn is_overruled(&self, key: Key, written: u64, revision: u64) -> bool {
+        let known = self.catalog.get(key);
+        known.is_some_and(|row| {
+            row.presence != Presence::Listed && (written..=revision).contains(&row.revision)
+        })
+    }
+
+    /// Whether the next reading has to list everything, since others have called something absent
+    /// that this host, which follows the store, knew as listed. Asked once for each such case.
+    pub fn take_contradiction(&mut self) -> bool {
+        std::mem::take(&mut self.is_contradicted)
     }
 
     /// A call of this host to the store failed.
@@ -317,6 +342,8 @@
             let next = RowBatch { heartbeat, ..batch.clone() };
             out.extend(self.send_down(root, &Message::Rows(next)));
         }
+        let is_absent = |row: &Row| row.presence != Presence::Listed;
+        self.is_contradicted |= self.role == Role::Reader && news.iter().any(is_absent);
         self.note_absent(&news, now_ms);
         if !self.is_complete(sender, &batch, now_ms) {
             return out;
--- /dev/null
+++ b/crates/relay/tests/false_lapse.rs
@@ -0,0 +1,82 @@
+//! Targets that another host calls lapsed although the store lists them.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use catalog::{Digest, Key, Presence, Record, Row, TargetId};
+use relay::{Changes, Config, Heartbeat, Message, Relay, Role, RowBatch, Scope};
+use routing::HostId;
+use support::target;
+
+const ME: HostId = HostId(1);
+const OTHER: HostId = HostId(2);
+const REVISION: u64 = 140;
+
+fn listing(now_ms: u64) -> Changes {
+    let listed: Vec<(u64, Record)> = (1..=3).map(|id| (20 + id, target(id))).collect();
+    Changes { revision: REVISION, listed, removed: Vec::new(), proven_at_ms: now_ms }
+}
+
+/// A host that is alone and has followed the store long enough to read on.
+fn reader() -> (Relay, u64) {
+    let mut relay = Relay::new(Config::default(), ME, 1, 0, 7);
+    let mut now_ms = 0;
+    while now_ms < 8_000 {
+        now_ms += 500;
+        relay.tick(now_ms);
+        if relay.role() == Role::Reader {
+            relay.on_changes(listing(now_ms), now_ms);
+        }
+    }
+    relay.tick(now_ms);
+    assert_eq!(relay.role(), Role::Reader);
+    (relay, now_ms)
+}
+
+/// Another host tells that the target `id` lapsed before `REVISION`.
+fn lapse(relay: &mut Relay, id: u64, now_ms: u64) {
+    let row = Row { revision: REVISION - 6, presence: Presence::Lapsed, record: target(id) };
+    let heartbeat = Heartbeat {
+        root: HostId(0),
+        revision: REVISION - 6,
+        digest: Digest(5),
+        age_ms: 10,
+        reader: OTHER,
+    };
+    let batch =
+        RowBatch { heartbeat, scope: Scope::Changes, after: 0, part: 0, parts: 1, rows: vec![row] };
+    let from: SocketAddr = ([127, 0, 0, 1], 2).into();
+    relay.on_message(from, OTHER, Message::Rows(batch), now_ms);
+}
+
+fn presence(relay: &Relay, id: u64) -> Option<Presence> {
+    relay.catalog().get(Key::Target(TargetId(id))).map(|row| row.presence)
+}
+
+#[test]
+fn listed_again() {
+    let (mut relay, now_ms) = reader();
+    lapse(&mut relay, 2, now_ms);
+    assert_eq!(presence(&relay, 2), Some(Presence::Lapsed));
+    assert!(relay.take_contradiction(), "the reader has to list everything");
+    assert!(!relay.take_contradiction(), "once");
+    let out = relay.on_changes(listing(now_ms), now_ms);
+    assert_eq!(presence(&relay, 2), Some(Presence::Listed));
+    assert!(out.is_empty(), "nobody else is known");
+}
+
+#[test]
+fn removed_stays() {
+    let (mut relay, now_ms) = reader();
+    let removed = vec![(REVISION + 2, Key::Target(TargetId(2)))];
+    // Written and removed again between two readings.
+    let changes = Changes {
+        revision: REVISION + 3,
+        listed: vec![(REVISION + 1, target(2))],
+        removed,
+        proven_at_ms: now_ms,
+    };
+    relay.on_changes(changes, now_ms);
+    assert_ne!(presence(&relay, 2), Some(Presence::Listed));
+}
--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -44,6 +44,36 @@
     }
 }
 
+#[test]
+fn gradual_start() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(40, 4, seed);
+        fleet.loss_percent = 5;
+        fleet.introduce(0..0);
+        // Targets announce themselves while hosts start, each host knows a part of the others, and
+        // each has read the store at another moment.
+        for id in 1..=60 {
+            fleet.announce(id);
+            fleet.run(60, |_| {});
+            if id % 8 == 0 {
+                fleet.introduce(0..id as usize * 40 / 60);
+            }
+        }
+        fleet.introduce(0..40);
+        fleet.run(15_000, |fleet| {
+            for (index, id) in (0..fleet.len()).zip((1..=60).cycle().skip(fleet.len())) {
+                assert_ne!(fleet.presence(index, id), Some(Presence::Gone), "seed {seed}: {index}");
+            }
+        });
+        for index in 0..fleet.len() {
+            for id in 1..=60 {
+                let presence = fleet.presence(index, id);
+                assert_eq!(presence, Some(Presence::Listed), "seed {seed}: {id} at {index}");
+            }
+        }
+    }
+}
+
 #[test]
 fn cut_domains() {
     let mut fleet = Fleet::new(12, 3, 4);
