Ask a target that is no longer listed whether it serves before its flows are reset

Cause: during a cut of a failure domain the entries of its targets lapse for the rest. And flows without a packet for 6 s were forgotten: after 30 targets had died, about 600 requests in the next 8 s were sent on such flows and lost.

Now a target that is gone from the store is checked at once and each second while this host sees flows of it; they stay while it answers. One at whose address another was started, or that failed its check, is still reset at once. Flows that are idle do not count as load after 6 s, but are remembered for the idle time-out of the settings and reset when their target dies.

tagged dead_target: gone_but_serving and idle_when_dead are new; gone_target expected the reset without a check and now expects it after a failed one.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -23,6 +23,8 @@
     services: Vec<Service>,
     targets: Vec<(Target, Presence)>,
     tags: Arc<TagTable>,
+    /// The targets at whose address another one was started later, sorted.
+    replaced: Vec<TargetIndex>,
     /// The targets that may take new flows, sorted by service.
     open: Vec<(u64, TargetIndex)>,
 }
@@ -94,8 +96,10 @@
             let (earlier, later) = (pair[0], pair[1]);
             if earlier.0 == later.0 && earlier.1 < later.1 {
                 self.targets[earlier.2].1 = Presence::Gone;
+                self.replaced.push(TargetIndex(earlier.2));
             }
         }
+        self.replaced.sort_unstable();
     }
 
     /// Every listener, sorted by address.
@@ -125,6 +129,11 @@
         self.targets[index.0].1
     }
 
+    /// Whether another target was started later at the address of the one at `index`.
+    pub fn is_replaced(&self, index: TargetIndex) -> bool {
+        self.replaced.binary_search(&index).is_ok()
+    }
+
     /// How many targets there are, those that are gone included.
     pub fn target_count(&self) -> usize {
         self.targets.len()
--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -15,18 +15,21 @@
 
 fn log_decision(event: &Decision) {
     match event {
-        Decision::Opened { key, target, copy, flows, revision, view_age_ms } => telemetry::emit(
-            Event::FlowOpened,
-            &[
-                field("caller", key.caller),
-                field("listener", key.listener),
-                field("target", format_args!("{:x}", target.0)),
-                field("copy", copy),
-                field("flows", flows),
-                field("revision", revision),
-                field("view_age_ms", view_age_ms),
-            ],
-        ),
+        Decision::Opened { key, target, copy, flows, is_near, revision, view_age_ms } => {
+            telemetry::emit(
+                Event::FlowOpened,
+                &[
+                    field("caller", key.caller),
+                    field("listener", key.listener),
+                    field("target", format_args!("{:x}", target.0)),
+                    field("copy", copy),
+                    field("flows", flows),
+                    field("near", is_near),
+                    field("revision", revision),
+                    field("view_age_ms", view_age_ms),
+                ],
+            )
+        }
         Decision::Reset { key, target, reason, revision, view_age_ms } => telemetry::emit(
             Event::FlowReset,
             &[
--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -16,9 +16,9 @@
     pub copy_ms: u64,
     /// How long an opening is remembered: a caller gives up after 1.4 s.
     pub opening_memory_ms: u64,
-    /// How long a flow without packets counts as open here; its packets may have moved to another
-    /// host.
-    pub flow_memory_ms: u64,
+    /// How long a flow without packets counts as load; its packets may have moved to another host.
+    /// It is remembered for the idle time-out of the settings.
+    pub flow_idle_ms: u64,
     /// How many flows are remembered.
     pub flows_max: usize,
     /// How long a report of another host about its flows counts.
@@ -49,7 +49,7 @@
             handshake_ms: 60,
             copy_ms: 150,
             opening_memory_ms: 1_500,
-            flow_memory_ms: 6_000,
+            flow_idle_ms: 6_000,
             flows_max: 65_536,
             report_ms: 5_000,
             unknown_ms: 1_000,
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -59,6 +59,8 @@
         copy: u32,
         /// The flows that this host counted at the target.
         flows: u32,
+        /// Whether the target is in this host's failure domain.
+        is_near: bool,
         /// The revision of the view.
         revision: u64,
         /// The age of the view, in milliseconds.
--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -18,6 +18,9 @@
     pub(crate) repeats: u8,
     /// Whether a request is under way: data was sent and nothing has come back since.
     pub(crate) is_busy: bool,
+    /// Whether no packet came for so long that the flow may have moved to another host. It does not
+    /// count as load, but is reset if its target dies.
+    pub(crate) is_idle: bool,
 }
 
 /// What a packet tells about its flow's target.
@@ -65,6 +68,7 @@
             last_acknowledged: segment.acknowledged,
             repeats: 0,
             is_busy: segment.data_bytes > 0,
+            is_idle: false,
         };
         self.flows.insert(segment.key, flow);
     }
@@ -73,6 +77,7 @@
     pub(crate) fn update(&mut self, segment: &Segment, now_ms: u64) -> Signal {
         let Some(flow) = self.flows.get_mut(&segment.key) else { return Signal::None };
         flow.last_packet_ms = now_ms;
+        flow.is_idle = false;
         if matches!(segment.kind, SegmentKind::Open { .. }) {
             return Signal::None;
         }
@@ -100,14 +105,23 @@
         Signal::None
     }
 
-    /// Takes out the flows without a packet for `memory_ms`.
-    pub(crate) fn expire(&mut self, memory_ms: u64, now_ms: u64, mut note: impl FnMut(&Flow)) {
+    /// Marks the flows without a packet for `idle_ms` as idle and takes out those without one for
+    /// `memory_ms`. `note` sees each with what it was before.
+    pub(crate) fn expire(
+        &mut self,
+        idle_ms: u64,
+        memory_ms: u64,
+        now_ms: u64,
+        mut note: impl FnMut(&Flow),
+    ) {
         self.flows.retain(|_, flow| {
-            let keep = flow.last_packet_ms + memory_ms > now_ms;
-            if !keep {
+            let silence_ms = now_ms.saturating_sub(flow.last_packet_ms);
+            let is_kept = silence_ms < memory_ms;
+            if !is_kept || (silence_ms >= idle_ms && !flow.is_idle) {
                 note(flow);
+                flow.is_idle = true;
             }
-            keep
+            is_kept
         });
     }
 }
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -4,6 +4,10 @@
 //! wait for its time limit; openings without an answer and flows without progress show it within a
 //! second. A suspected target takes no new flows; its flows are reset only after a check failed and
 //! nothing of it was heard meanwhile.
+//!
+//! Load pattern: a failure domain is cut off from the store, and its targets are no longer listed
+//! when it comes back, although they serve. A target that is not listed is checked like a silent
+//! one: its flows stay while it answers.
 
 use catalog::TargetId;
 
@@ -55,11 +59,14 @@
     /// When a suspicion ends without confirmation.
     until_ms: u64,
     progress_at_ms: u64,
-    /// When the target last answered a check.
+    /// When the target was last checked, and when it last answered a check.
+    checked_at_ms: u64,
     answered_at_ms: u64,
     failed_openings: u32,
     stalled_flows: u32,
     is_check_due: bool,
+    /// Whether the store no longer lists it.
+    is_gone: bool,
     /// How long after a failed check the next one follows.
     dead_pause_ms: u64,
 }
@@ -92,6 +99,24 @@
         self.find(target).map_or((0, 0), |record| (record.failed_openings, record.stalled_flows))
     }
 
+    /// The store no longer lists `target`, to which this host sees flows.
+    pub fn on_gone(&mut self, target: TargetId, now_ms: u64) {
+        let record = self.record(target, now_ms);
+        if !std::mem::replace(&mut record.is_gone, true) {
+            record.is_check_due = record.standing != Standing::Dead;
+        }
+    }
+
+    /// Forgets that the store did not list the targets for which `is_listed` holds.
+    pub fn on_listed(&mut self, is_listed: impl Fn(TargetId) -> bool) {
+        for record in self.records.iter_mut().filter(|record| record.is_gone) {
+            if is_listed(record.target) {
+                record.is_gone = false;
+                record.is_check_due |= record.standing == Standing::Dead;
+            }
+        }
+    }
+
     /// A flow of `target` made progress. Returns whether the standing changed.
     pub fn on_progress(&mut self, target: TargetId, now_ms: u64) -> bool {
         let record = self.record(target, now_ms);
@@ -172,7 +197,10 @@
                 record.stalled_flows = 0;
                 record.change(Standing::Good, now_ms)
             }
-            Verdict::Failed if record.progress_at_ms >= started_at_ms => false,
+            Verdict::Failed if record.progress_at_ms >= started_at_ms => {
+                record.is_check_due = record.is_gone;
+                false
+            }
             Verdict::Failed => {
                 // Each further failure doubles the pause: the entry of a target that is gone for
                 // good lapses soon, and a cut may last.
@@ -187,16 +215,29 @@
         }
     }
 
-    /// The targets that are to be checked now.
-    pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<DueCheck> {
+    /// The targets that are to be checked now. `has_flows` tells whether this host sees flows of a
+    /// target; those that are not listed are checked again only then.
+    pub fn take_due_checks(
+        &mut self,
+        has_flows: impl Fn(TargetId) -> bool,
+        config: &Config,
+        now_ms: u64,
+    ) -> Vec<DueCheck> {
         let mut targets = Vec::new();
         for record in &mut self.records {
             let is_old = now_ms >= record.since_ms + record.dead_pause_ms;
-            if record.standing == Standing::Dead && is_old {
+            let is_past = record.is_gone && record.standing == Standing::Dead;
+            if record.standing == Standing::Dead && is_old && !is_past {
                 record.since_ms = now_ms;
                 record.is_check_due = true;
             }
-            if std::mem::take(&mut record.is_check_due) {
+            let is_checked_again = record.is_gone
+                && record.standing != Standing::Dead
+                && now_ms >= record.checked_at_ms + config.check_pause_ms;
+            if std::mem::take(&mut record.is_check_due)
+                | (is_checked_again && has_flows(record.target))
+            {
+                record.checked_at_ms = now_ms;
                 targets.push(record.target);
             }
         }
@@ -246,10 +287,12 @@
                     since_ms: now_ms,
                     until_ms: 0,
                     progress_at_ms: 0,
+                    checked_at_ms: 0,
                     answered_at_ms: 0,
                     failed_openings: 0,
                     stalled_flows: 0,
                     is_check_due: false,
+                    is_gone: false,
                     dead_pause_ms: 0,
                 };
                 self.records.insert(position, record);
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -10,7 +10,7 @@
 use crate::{
     CheckVerdict, Config, Counter, Counters, DueCheck, Event, Health, HostLoad, LoadBoard, Reason,
     Segment, SegmentKind, Standing, TargetLoad, Verdict,
-    flows::{FlowTable, Signal},
+    flows::{Flow, FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
 };
@@ -79,7 +79,32 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnLoad {
     flows: u32,
+    /// Those of them with a request under way.
     busy: u32,
+    /// The flows that may have moved to another host.
+    idle: u32,
+}
+
+impl OwnLoad {
+    fn add(&mut self, flow: &Flow) {
+        match flow.is_idle {
+            true => self.idle += 1,
+            false => {
+                self.flows += 1;
+                self.busy += u32::from(flow.is_busy);
+            }
+        }
+    }
+
+    fn subtract(&mut self, flow: &Flow) {
+        match flow.is_idle {
+            true => self.idle = self.idle.saturating_sub(1),
+            false => {
+                self.flows = self.flows.saturating_sub(1);
+                self.busy = self.busy.saturating_sub(u32::from(flow.is_busy));
+            }
+        }
+    }
 }
 
 impl Traffic {
@@ -144,36 +169,41 @@
         self.swept_at_ms = now_ms;
         let own = &mut self.own;
         let mut has_expired = false;
-        self.flows.expire(self.config.flow_memory_ms, now_ms, |flow| {
+        let idle_ms = self.config.flow_idle_ms;
+        let memory_ms = view.directory.idle_timeout_ms.max(idle_ms);
+        self.flows.expire(idle_ms, memory_ms, now_ms, |flow| {
             has_expired = true;
-            release(own, flow.target, flow.is_busy);
+            release(own, flow);
+            if now_ms < flow.last_packet_ms + memory_ms {
+                own.entry(flow.target).or_default().idle += 1;
+            }
         });
         self.has_load_news |= has_expired;
         self.openings.sweep(self.config.opening_memory_ms, now_ms);
         self.unknown.sweep(2 * self.config.unknown_ms, now_ms);
         self.others.expire(self.config.report_ms, now_ms);
         let directory = view.directory;
-        let cleared = self.health.expire(now_ms, |target| {
-            let index = directory.find_target(target);
-            index.is_some_and(|index| directory.presence(index) != Presence::Gone)
-        });
+        let cleared = self.health.expire(now_ms, |target| directory.find_target(target).is_some());
         for target in cleared {
             self.note_standing(target);
         }
     }
 
-    /// A new view is in force: flows of targets that are gone are reset, and targets that are slow
-    /// after their start are noted.
+    /// A new view is in force: targets that are gone are checked if this host sees flows of them,
+    /// and targets that are slow after their start are noted.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
         self.revision = directory.revision;
-        let gone: Vec<TargetId> = (self.own.keys().copied())
-            .filter(|target| {
-                let index = directory.find_target(*target);
-                index.is_some_and(|index| directory.presence(index) == Presence::Gone)
-            })
-            .collect();
-        for target in gone {
-            self.reset_flows(target, Reason::TargetGone);
+        let is_listed = |index| directory.presence(index) != Presence::Gone;
+        self.health.on_listed(|target| directory.find_target(target).is_some_and(is_listed));
+        let own = self.own.keys().filter_map(|target| directory.find_target(*target));
+        let gone: Vec<TargetIndex> = own.filter(|index| !is_listed(*index)).collect();
+        for index in gone {
+            let target = directory.target(index).id;
+            if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
+                self.reset_flows(target, Reason::TargetGone);
+            } else {
+                self.health.on_gone(target, now_ms);
+            }
         }
         self.warmups.retain(|target, _| directory.find_target(*target).is_some());
         for position in 0..directory.target_count() {
@@ -192,7 +222,9 @@
         for target in self.openings.take_unanswered(self.config.handshake_ms, drained_at_ms) {
             self.note_unanswered(target, now_ms);
         }
-        self.health.take_due_checks(now_ms)
+        let own = &self.own;
+        let has_flows = |target| own.contains_key(&target);
+        self.health.take_due_checks(has_flows, &self.config, now_ms)
     }
 
     /// A check that was started at `started_at_ms` has ended.
@@ -295,6 +327,7 @@
             target: target.id,
             copy,
             flows,
+            is_near: target.domain_seed == self.config.domain_seed,
             revision: view.directory.revision,
             view_age_ms: view.age_ms,
         });
@@ -310,8 +343,12 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.release_flow(segment);
-            return Verdict::Reset(Reason::TargetGone);
+            let is_dead = self.health.standing(target.id) == Standing::Dead;
+            if is_dead || view.directory.is_replaced(index) {
+                self.release_flow(segment);
+                return Verdict::Reset(Reason::TargetGone);
+            }
+            self.health.on_gone(target.id, now_ms);
         }
         if view.directory.find_listener(segment.key.listener).is_none() {
             self.release_flow(segment);
@@ -353,11 +390,10 @@
             self.add_flow(segment, target, now_ms);
             return;
         }
-        let was_busy = known.is_some_and(|flow| flow.is_busy);
         let signal = self.flows.update(segment, now_ms);
-        let is_busy = self.flows.get(&segment.key).is_some_and(|flow| flow.is_busy);
         let own = self.own.entry(target).or_default();
-        own.busy = (own.busy + u32::from(is_busy)).saturating_sub(u32::from(was_busy));
+        known.iter().for_each(|flow| own.subtract(flow));
+        self.flows.get(&segment.key).into_iter().for_each(|flow| own.add(flow));
         let has_changed = match signal {
             Signal::None => false,
             Signal::Progress => self.health.on_progress(target, now_ms),
@@ -380,14 +416,13 @@
         }
         self.flows.add(segment, target, now_ms);
         let own = self.own.entry(target).or_default();
-        own.flows += 1;
-        own.busy += u32::from(segment.data_bytes > 0);
+        self.flows.get(&segment.key).into_iter().for_each(|flow| own.add(flow));
         self.has_load_news = true;
     }
 
     fn release_flow(&mut self, segment: &Segment) {
         if let Some(flow) = self.flows.remove(&segment.key) {
-            release(&mut self.own, flow.target, flow.is_busy);
+            release(&mut self.own, &flow);
             self.has_load_news = true;
         }
     }
@@ -457,12 +492,11 @@
     }
 }
 
-fn release(own: &mut HashMap<TargetId, OwnLoad>, target: TargetId, is_busy: bool) {
-    let Some(load) = own.get_mut(&target) else { return };
-    load.flows = load.flows.saturating_sub(1);
-    load.busy = load.busy.saturating_sub(u32::from(is_busy));
-    if load.flows == 0 {
-        own.remove(&target);
+fn release(own: &mut HashMap<TargetId, OwnLoad>, flow: &Flow) {
+    let Some(load) = own.get_mut(&flow.target) else { return };
+    load.subtract(flow);
+    if load.flows + load.idle == 0 {
+        own.remove(&flow.target);
     }
 }
 
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -88,8 +88,8 @@
     assert!(host.traffic.take_resets().is_empty(), "the target has just answered here");
 }
 
-#[test]
-fn gone_target() {
+/// The same host after the store has stopped listing the target.
+fn unlisted_host() -> (Host, catalog::FlowTag) {
     let (mut host, tag) = busy_host();
     let gone = rows(&[(1, NEAR)])
         .into_iter()
@@ -99,8 +99,54 @@
         })
         .collect();
     host.set_rows(gone);
+    (host, tag)
+}
+
+#[test]
+fn gone_target() {
+    let (mut host, tag) = unlisted_host();
+    assert_eq!(host.due_checks(), [TARGET], "it is asked at once whether it is there");
+    let now_ms = host.now_ms;
+    host.traffic.on_check(TARGET, CheckVerdict::Failed, now_ms, now_ms + 2);
+    assert_eq!(host.due_checks(), [TARGET], "a last answer came during the check");
+    let now_ms = host.now_ms + 20;
+    host.traffic.on_check(TARGET, CheckVerdict::Failed, now_ms, now_ms + 5);
     assert_eq!(host.traffic.take_resets().len(), 3);
     assert_eq!(host.send(&data(0, tag, 100, 50)), Verdict::Reset(Reason::TargetGone));
+    assert_eq!(host.send(&data(7, tag, 100, 50)), Verdict::Reset(Reason::TargetGone));
+}
+
+#[test]
+fn gone_but_serving() {
+    let (mut host, tag) = unlisted_host();
+    host.due_checks();
+    let now_ms = host.now_ms;
+    host.traffic.on_check(TARGET, CheckVerdict::Answered, now_ms, now_ms + 5);
+    assert!(host.traffic.take_resets().is_empty(), "a cut took it from the store, not from here");
+    assert!(matches!(host.send(&data(0, tag, 100, 50)), Verdict::Forward { .. }));
+    assert!(!matches!(host.send(&support::opening(9, 0)), Verdict::Forward { .. }));
+    // It is asked again while it is not listed, and no more once it is.
+    host.now_ms += 1_100;
+    assert_eq!(host.due_checks(), [TARGET]);
+    host.set_rows(rows(&[(1, NEAR)]));
+    host.now_ms += 1_100;
+    assert!(host.due_checks().is_empty());
+}
+
+#[test]
+fn idle_when_dead() {
+    let (mut host, _) = busy_host();
+    // No packet for longer than flows count as load, less than their idle time-out.
+    for _ in 0..18 {
+        host.now_ms += 500;
+        let view = tagged::View { directory: &host.directory, age_ms: 100 };
+        host.traffic.on_tick(view, host.now_ms);
+    }
+    assert!(host.traffic.loads().iter().all(|load| load.flows == 0), "they may have moved");
+    let now_ms = host.now_ms;
+    host.traffic.on_check(TARGET, CheckVerdict::Failed, now_ms, now_ms);
+    assert_eq!(host.traffic.take_resets().len(), 3, "callers would send their next requests there");
+    assert_eq!(host.traffic.flow_count(), 0);
 }
 
 #[test]
