Do not take who answers at a dead target's address for the target

Cause: targets died while the store was silent, and others started at their addresses two seconds later. The next check of a dead target found a connection accepted and called it good; it was offered to new flows, which nobody answered, until the store was back.

Ruled out: the health page, which tells nothing of who answers; a packet of our own, which no host may write.

An answer within 1.5 s of the death is the target's own. A later one leaves it suspect until a flow of it makes progress or the store, confirmed 6 s after the death, still lists it. Reports of other hosts count the same way, and a target that died and is gone is not asked again. One that answers checks but no openings is left alone for twice as long each time, up to 2 s.

tagged reused_address, five tests; another_answers, told_by_another and gone_after_death fail without the mechanism (the target was good again after the answer or 2 s).

--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -21,8 +21,10 @@
     pub flow_idle_ms: u64,
     /// How many flows are remembered.
     pub flows_max: usize,
-    /// How long a report of another host about its flows counts.
+    /// How long a report of another host of the failure domain about its flows counts.
     pub report_ms: u64,
+    /// The same of hosts of other failure domains, which report more seldom.
+    pub far_report_ms: u64,
     /// How long a tag has to be unknown, on views that are newer than its first packet, before its
     /// target counts as gone.
     pub unknown_ms: u64,
@@ -39,6 +41,12 @@
     pub dead_ms: u64,
     /// How long that pause gets.
     pub dead_max_ms: u64,
+    /// How soon after a target was found dead another one may answer at its address: the platform
+    /// uses addresses again after 2 s, and a death is found within half a second.
+    pub reuse_ms: u64,
+    /// How long after its death a target is no longer listed, if the store is well: three missed
+    /// announcements, and the two seconds in which they come back.
+    pub lapse_ms: u64,
 }
 
 impl Default for Config {
@@ -52,6 +60,7 @@
             flow_idle_ms: 6_000,
             flows_max: 65_536,
             report_ms: 5_000,
+            far_report_ms: 10_000,
             unknown_ms: 1_000,
             suspicion_ms: 2_000,
             check_pause_ms: 1_000,
@@ -59,6 +68,8 @@
             heard_ms: 300,
             dead_ms: 2_000,
             dead_max_ms: 8_000,
+            reuse_ms: 1_500,
+            lapse_ms: 6_000,
         }
     }
 }
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -5,6 +5,10 @@
 //! second. A suspected target takes no new flows; its flows are reset only after a check failed and
 //! nothing of it was heard meanwhile.
 //!
+//! Load pattern: targets die while the store is away, and others start at their addresses. A
+//! connection that is accepted there shows nothing of the dead target: it stays suspect until a
+//! flow of it makes progress or the store, well again for long enough, still lists it.
+//!
 //! Load pattern: a failure domain is cut off from the store, and its targets are no longer listed
 //! when it comes back, although they serve. A target that is not listed is checked like a silent
 //! one: its flows stay while it answers.
@@ -67,6 +71,12 @@
     is_check_due: bool,
     /// Whether the store no longer lists it.
     is_gone: bool,
+    /// Since when it has counted as dead, here or with another host, without a sign of life.
+    died_at_ms: Option<u64>,
+    /// When it was last found to live after all.
+    confirmed_at_ms: Option<u64>,
+    /// How long it was last left alone because it seemed full.
+    full_pause_ms: u64,
     /// How long after a failed check the next one follows.
     dead_pause_ms: u64,
 }
@@ -103,7 +113,13 @@
     pub fn on_gone(&mut self, target: TargetId, now_ms: u64) {
         let record = self.record(target, now_ms);
         if !std::mem::replace(&mut record.is_gone, true) {
-            record.is_check_due = record.standing != Standing::Dead;
+            // Who answers at the address of one that has died may be another.
+            match record.died_at_ms {
+                Some(_) => {
+                    record.change(Standing::Dead, now_ms);
+                }
+                None => record.is_check_due = true,
+            }
         }
     }
 
@@ -112,6 +128,8 @@
         for record in self.records.iter_mut().filter(|record| record.is_gone) {
             if is_listed(record.target) {
                 record.is_gone = false;
+                // It has announced itself again.
+                record.died_at_ms = None;
                 record.is_check_due |= record.standing == Standing::Dead;
             }
         }
@@ -121,6 +139,8 @@
     pub fn on_progress(&mut self, target: TargetId, now_ms: u64) -> bool {
         let record = self.record(target, now_ms);
         record.progress_at_ms = now_ms;
+        record.died_at_ms = None;
+        record.full_pause_ms = 0;
         record.failed_openings = 0;
         record.stalled_flows = 0;
         record.is_check_due = false;
@@ -162,14 +182,18 @@
         if record.standing == Standing::Dead {
             return false;
         }
-        if record.failed_openings + record.stalled_flows > 0 {
+        if record.failed_openings + record.stalled_flows > 0 && record.died_at_ms.is_none() {
+            record.died_at_ms = Some(now_ms);
             return record.change(Standing::Dead, now_ms);
         }
         // What this host hears itself goes before what others report.
         let is_heard = now_ms < record.progress_at_ms + config.heard_ms;
-        if is_heard || record.standing != Standing::Good {
+        let is_confirmed =
+            record.confirmed_at_ms.is_some_and(|at_ms| now_ms < at_ms + config.dead_max_ms);
+        if is_heard || is_confirmed || record.standing != Standing::Good {
             return false;
         }
+        record.died_at_ms = Some(now_ms);
         record.is_check_due = has_flows;
         record.until_ms = now_ms + config.suspicion_ms;
         record.change(Standing::Suspect, now_ms)
@@ -190,11 +214,16 @@
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
                 record.answered_at_ms = now_ms;
+                if record.died_at_ms.is_some_and(|at_ms| now_ms >= at_ms + config.reuse_ms) {
+                    return record.change(Standing::Suspect, now_ms);
+                }
+                record.died_at_ms = None;
                 record.change(Standing::Good, now_ms)
             }
             Verdict::Unclear => {
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
+                record.died_at_ms = None;
                 record.change(Standing::Good, now_ms)
             }
             Verdict::Failed if record.progress_at_ms >= started_at_ms => {
@@ -210,6 +239,7 @@
                 };
                 record.dead_pause_ms = pause_ms.min(config.dead_max_ms);
                 record.since_ms = now_ms;
+                record.died_at_ms.get_or_insert(now_ms);
                 record.change(Standing::Dead, now_ms)
             }
         }
@@ -257,13 +287,30 @@
             .map(|record| record.target)
     }
 
-    /// Ends suspicions that ran out and forgets targets for which `is_known` does not hold. Gives
-    /// the targets that are good again.
-    pub fn expire(&mut self, now_ms: u64, is_known: impl Fn(TargetId) -> bool) -> Vec<TargetId> {
+    /// Ends suspicions that ran out and forgets targets for which `is_known` does not hold. Those
+    /// that have died stay suspect until `is_listed_after` holds for them and a moment by which
+    /// their announcement would have lapsed. Gives the targets that are good again.
+    pub fn expire(
+        &mut self,
+        config: &Config,
+        now_ms: u64,
+        is_known: impl Fn(TargetId) -> bool,
+        is_listed_after: impl Fn(TargetId, u64) -> bool,
+    ) -> Vec<TargetId> {
         self.records.retain(|record| is_known(record.target));
         let mut cleared = Vec::new();
         for record in &mut self.records {
-            if record.standing == Standing::Suspect && now_ms >= record.until_ms {
+            if record.standing != Standing::Suspect {
+                continue;
+            }
+            let is_over = match record.died_at_ms {
+                Some(at_ms) => is_listed_after(record.target, at_ms + config.lapse_ms),
+                None => now_ms >= record.until_ms,
+            };
+            if is_over {
+                if record.died_at_ms.take().is_some() {
+                    record.confirmed_at_ms = Some(now_ms);
+                }
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
                 record.change(Standing::Good, now_ms);
@@ -293,6 +340,9 @@
                     stalled_flows: 0,
                     is_check_due: false,
                     is_gone: false,
+                    died_at_ms: None,
+                    confirmed_at_ms: None,
+                    full_pause_ms: 0,
                     dead_pause_ms: 0,
                 };
                 self.records.insert(position, record);
@@ -319,10 +369,15 @@
         if !is_enough || self.standing != Standing::Good {
             return false;
         }
-        // A target that lives and answers no opening is full: it is left alone for a moment.
+        // A target that lives and answers no opening is full: it is left alone for a moment, and
+        // longer each time.
         let is_full = self.has_answered(config, now_ms);
         self.is_check_due |= !is_full;
-        self.until_ms = now_ms + if is_full { config.full_ms } else { config.suspicion_ms };
+        if is_full {
+            self.full_pause_ms =
+                (2 * self.full_pause_ms).clamp(config.full_ms, config.suspicion_ms);
+        }
+        self.until_ms = now_ms + if is_full { self.full_pause_ms } else { config.suspicion_ms };
         self.change(Standing::Suspect, now_ms)
     }
 
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -3,6 +3,8 @@
 use catalog::TargetId;
 use routing::HostId;
 
+use crate::Config;
+
 /// The flows of one target that one host sees.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLoad {
@@ -62,9 +64,12 @@
         self.add(position);
     }
 
-    /// Forgets reports that are older than `memory_ms`.
-    pub fn expire(&mut self, memory_ms: u64, now_ms: u64) {
-        let is_old = |report: &Report| report.received_at_ms + memory_ms <= now_ms;
+    /// Forgets reports that are too old to count.
+    pub fn expire(&mut self, config: &Config, now_ms: u64) {
+        let memory_ms =
+            |is_near: bool| if is_near { config.report_ms } else { config.far_report_ms };
+        let is_old =
+            |report: &Report| report.received_at_ms + memory_ms(report.load.is_near) <= now_ms;
         while let Some(position) = self.reports.iter().position(is_old) {
             let report = self.reports.remove(position);
             self.subtract(&report.load);
@@ -86,6 +91,13 @@
         near.map(|report| now_ms.saturating_sub(report.received_at_ms).min(AGE_MAX_MS)).sum()
     }
 
+    /// Whether enough hosts of other failure domains have reported for their loads to be compared
+    /// with those of the own domain: as many as of the own one.
+    pub fn knows_far(&self) -> bool {
+        let near = self.reports.iter().filter(|report| report.load.is_near).count();
+        self.reports.len() - near >= near
+    }
+
     fn add(&mut self, position: usize) {
         for load in &self.reports[position].load.targets {
             match self.totals.binary_search_by_key(&load.target, |total| total.target) {
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -181,9 +181,17 @@
         self.has_load_news |= has_expired;
         self.openings.sweep(self.config.opening_memory_ms, now_ms);
         self.unknown.sweep(2 * self.config.unknown_ms, now_ms);
-        self.others.expire(self.config.report_ms, now_ms);
+        self.others.expire(&self.config, now_ms);
         let directory = view.directory;
-        let cleared = self.health.expire(now_ms, |target| directory.find_target(target).is_some());
+        let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
+        let is_listed_after = |target, at_ms| {
+            let index = directory.find_target(target);
+            let is_listed =
+                index.is_some_and(|index| directory.presence(index) == Presence::Listed);
+            is_listed && confirmed_at_ms >= at_ms
+        };
+        let is_known = |target| directory.find_target(target).is_some();
+        let cleared = self.health.expire(&self.config, now_ms, is_known, is_listed_after);
         for target in cleared {
             self.note_standing(target);
         }
@@ -199,10 +207,9 @@
         let gone: Vec<TargetIndex> = own.filter(|index| !is_listed(*index)).collect();
         for index in gone {
             let target = directory.target(index).id;
+            self.health.on_gone(target, now_ms);
             if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
                 self.reset_flows(target, Reason::TargetGone);
-            } else {
-                self.health.on_gone(target, now_ms);
             }
         }
         self.warmups.retain(|target, _| directory.find_target(*target).is_some());
@@ -343,12 +350,12 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
+            self.health.on_gone(target.id, now_ms);
             let is_dead = self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.release_flow(segment);
                 return Verdict::Reset(Reason::TargetGone);
             }
-            self.health.on_gone(target.id, now_ms);
         }
         if view.directory.find_listener(segment.key.listener).is_none() {
             self.release_flow(segment);
--- /dev/null
+++ b/crates/tagged/tests/reused_address.rs
@@ -0,0 +1,110 @@
+//! Targets that die while the store is away, and others that start at their addresses.
+
+mod support;
+
+use catalog::{Presence, Record, Row, TargetId};
+use support::{Host, NEAR, data, rows};
+use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict, View};
+
+const DEAD: TargetId = TargetId(1);
+
+impl Host {
+    /// Lets time pass in steps; the view ages unless the store is well.
+    fn pass(&mut self, duration_ms: u64, is_store_well: bool) {
+        for _ in 0..duration_ms / 100 {
+            self.now_ms += 100;
+            self.age_ms = if is_store_well { 100 } else { self.age_ms + 100 };
+            let view = View { directory: &self.directory, age_ms: self.age_ms };
+            self.traffic.on_tick(view, self.now_ms);
+        }
+    }
+
+    /// How many of some openings, none of them answered, go to the dead target.
+    fn openings_to_dead(&mut self, first_caller: u16) -> usize {
+        let targets: Vec<TargetId> =
+            (first_caller..first_caller + 20).map(|caller| self.open(caller, 0).0).collect();
+        targets.into_iter().filter(|target| *target == DEAD).count()
+    }
+}
+
+/// A host whose target 1 failed a check while the store is away; 2 and 3 serve.
+fn host_after_death() -> Host {
+    let mut host = Host::new(&[(1, NEAR), (2, NEAR), (3, NEAR)]);
+    let now_ms = host.now_ms;
+    host.traffic.on_check(DEAD, CheckVerdict::Failed, now_ms, now_ms);
+    host
+}
+
+fn answer(host: &mut Host) {
+    let now_ms = host.now_ms;
+    host.traffic.on_check(DEAD, CheckVerdict::Answered, now_ms - 5, now_ms);
+}
+
+#[test]
+fn another_answers() {
+    let mut host = host_after_death();
+    host.pass(3_000, false);
+    answer(&mut host);
+    assert_eq!(host.openings_to_dead(10), 0, "another target may have started there");
+    host.pass(4_000, false);
+    assert_eq!(host.openings_to_dead(40), 0, "the store tells nothing");
+    // The store is back and has had the time to find the entry lapsed.
+    host.pass(1_000, true);
+    assert!(host.openings_to_dead(70) > 0, "it is listed, so it lives");
+}
+
+#[test]
+fn soon_again() {
+    let mut host = host_after_death();
+    host.pass(600, false);
+    answer(&mut host);
+    assert!(host.openings_to_dead(10) > 0, "nobody else can be there so soon");
+}
+
+#[test]
+fn own_progress() {
+    let mut host = host_after_death();
+    let tag = host.directory.find_target(DEAD).and_then(|index| host.directory.tag_for(index));
+    let tag = tag.expect("the target is known");
+    host.pass(3_000, false);
+    answer(&mut host);
+    // A flow that another host opened earlier moves here and goes on.
+    host.send(&data(300, tag, 10, 10));
+    host.send(&data(300, tag, 10, 500));
+    assert!(host.openings_to_dead(10) > 0, "an answer inside a flow is its own");
+}
+
+#[test]
+fn told_by_another() {
+    let mut host = Host::new(&[(1, NEAR), (2, NEAR), (3, NEAR)]);
+    let report = HostLoad {
+        host: routing::HostId(9),
+        is_near: true,
+        targets: vec![TargetLoad { target: DEAD, flows: 0, busy: 0, is_dead: true }],
+    };
+    host.traffic.on_report(report, host.now_ms);
+    host.pass(4_000, false);
+    assert_eq!(host.openings_to_dead(10), 0, "no word from the store since");
+}
+
+#[test]
+fn gone_after_death() {
+    let mut host = host_after_death();
+    let tag = host.directory.find_target(DEAD).and_then(|index| host.directory.tag_for(index));
+    let tag = tag.expect("the target is known");
+    host.pass(3_000, false);
+    answer(&mut host);
+    host.send(&data(300, tag, 10, 10));
+    let gone = rows(&[(1, NEAR), (2, NEAR), (3, NEAR)])
+        .into_iter()
+        .map(|row| match &row.record {
+            Record::Target(target) if target.id == DEAD => {
+                Row { revision: 2, presence: Presence::Gone, ..row }
+            }
+            _ => row,
+        })
+        .collect();
+    host.set_rows(gone);
+    assert!(host.due_checks().is_empty(), "who answers there is another");
+    assert_eq!(host.send(&data(300, tag, 10, 10)), Verdict::Reset(Reason::TargetGone));
+}
