Spill over to other failure domains by means, and only if their load is known

Cause: the emptiest of the own domain's 30 targets was compared with the emptiest of all 150 by counts that are up to 7 s old or, of other domains, missing.

--- a/crates/tagged/src/choice.rs
+++ b/crates/tagged/src/choice.rs
@@ -12,11 +12,12 @@
 
 use catalog::TargetIndex;
 
-/// By how many flows a slot the own domain's emptiest target may exceed the emptiest of all.
+/// By how many flows a slot the own domain's targets may exceed all, on average. The emptiest of many
+/// targets says little when counts are old.
 const SPILL_FLOWS_PER_SLOT: f64 = 2.0;
 
-/// By which part the own domain's emptiest target may exceed the emptiest of all. Bytes between
-/// failure domains cost and a cut breaks their flows.
+/// By which part they may exceed all, on average. Bytes between failure domains cost and a cut breaks
+/// their flows.
 const SPILL_RATIO: f64 = 0.3;
 
 /// Why a target is chosen only if there is no better one, the least reason first.
@@ -54,6 +55,8 @@
 /// What one choice is drawn by.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Draw {
+    /// Whether the loads of other failure domains are known well enough to spill over to them.
+    pub knows_far: bool,
     /// How many flows other hosts have opened to the own domain's targets since they last told.
     pub unseen_flows: f64,
     /// Even in [0, 1).
@@ -70,24 +73,35 @@
     let near: Vec<&Candidate> =
         best.iter().copied().filter(|candidate| candidate.is_near).collect();
     let any = least(&best, draw.ties)?;
-    let bound = any.load * (1.0 + SPILL_RATIO) + SPILL_FLOWS_PER_SLOT;
+    let bound = mean(&best) * (1.0 + SPILL_RATIO) + SPILL_FLOWS_PER_SLOT;
     match least(&near, draw.ties) {
-        Some(emptiest) if emptiest.load <= bound => Some(level(near, emptiest, draw).index),
-        _ => Some(any.index),
+        Some(emptiest) if !draw.knows_far || mean(&near) <= bound => {
+            Some(level(near, emptiest, draw).index)
+        }
+        _ => Some(level(best, any, draw).index),
     }
 }
 
+fn mean(candidates: &[&Candidate]) -> f64 {
+    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
+    sum / candidates.len().max(1) as f64
+}
+
 /// Draws among the candidates below the level to which the unseen flows fill the emptiest ones, each
 /// by what it takes up to there.
-fn level<'a>(mut near: Vec<&'a Candidate>, emptiest: &'a Candidate, draw: Draw) -> &'a Candidate {
+fn level<'a>(
+    mut candidates: Vec<&'a Candidate>,
+    emptiest: &'a Candidate,
+    draw: Draw,
+) -> &'a Candidate {
     if draw.unseen_flows <= 0.0 {
         return emptiest;
     }
-    near.sort_by(|left, right| left.load.total_cmp(&right.load));
+    candidates.sort_by(|left, right| left.load.total_cmp(&right.load));
     let slots = |candidate: &Candidate| f64::from(candidate.slots.max(1));
     // The level at which the first n candidates together have taken up the unseen flows.
     let (mut total_slots, mut held, mut height, mut count) = (0.0, 0.0, 0.0, 0);
-    for (position, candidate) in near.iter().enumerate() {
+    for (position, candidate) in candidates.iter().enumerate() {
         if count > 0 && candidate.load >= height {
             break;
         }
@@ -97,7 +111,7 @@
         count = position + 1;
     }
     let mut left = draw.share * draw.unseen_flows;
-    for candidate in &near[..count] {
+    for candidate in &candidates[..count] {
         left -= slots(candidate) * (height - candidate.load);
         if left < 0.0 {
             return candidate;
--- a/crates/tagged/src/traffic/placing.rs
+++ b/crates/tagged/src/traffic/placing.rs
@@ -49,6 +49,7 @@
     ) -> Option<TargetIndex> {
         let service_seed = self.draw_service(listener)?;
         let draw = Draw {
+            knows_far: self.others.knows_far(),
             unseen_flows: self.unseen_flows(service_seed, now_ms),
             share: self.rng.random(),
             ties: self.rng.random(),
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -5,8 +5,9 @@
 use std::collections::HashSet;
 
 use catalog::{Record, Stage, TargetId};
+use routing::HostId;
 use support::{FAR, Host, NEAR, data, opening, rows};
-use tagged::{CheckVerdict, Reason, Verdict};
+use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
 
 #[test]
 fn same_target() {
@@ -43,6 +44,31 @@
     assert!(targets.contains(&2), "a full failure domain spills over");
 }
 
+/// A report of another host with `flows` at each target.
+fn report(host: u64, is_near: bool, flows: &[(u64, u32)]) -> HostLoad {
+    let load = |&(id, flows): &(u64, u32)| TargetLoad {
+        target: TargetId(id),
+        flows,
+        busy: 0,
+        is_dead: false,
+    };
+    HostLoad { host: HostId(host), is_near, targets: flows.iter().map(load).collect() }
+}
+
+#[test]
+fn spill_by_means() {
+    let targets = [(1, NEAR), (2, NEAR), (3, NEAR), (4, FAR), (5, FAR), (6, FAR)];
+    let mut host = Host::new(&targets);
+    host.traffic.on_report(report(1, true, &[(1, 40), (2, 40), (3, 40)]), host.now_ms);
+    // Nothing is known of the other failure domain.
+    assert!((0..20).all(|caller| host.open(caller, 0).0.0 <= 3));
+    // One of its targets is empty, and all together are as full.
+    host.traffic.on_report(report(2, false, &[(4, 60), (5, 60)]), host.now_ms);
+    assert!((20..40).all(|caller| host.open(caller, 0).0.0 <= 3));
+    host.traffic.on_report(report(2, false, &[(4, 2), (5, 2), (6, 2)]), host.now_ms);
+    assert!((40..60).any(|caller| host.open(caller, 0).0.0 > 3), "now it has room");
+}
+
 #[test]
 fn unlisted_address() {
     let mut host = Host::new(&[(1, NEAR)]);
