Count requests that are long under way as several

Cause: a target that hangs keeps requests until callers give up, and turns away at once what its queue does not hold, so it looked no fuller than others.

A request that is under way for more than twice the aim of its listener counts as 20, for this host and in its reports. tagged hanging_target no_answer fails before.

--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -18,6 +18,8 @@
     pub(crate) repeats: u8,
     /// Whether a request is under way: data was sent and nothing has come back since.
     pub(crate) is_busy: bool,
+    /// Since when.
+    busy_since_ms: u64,
     /// Whether no packet came for so long that the flow may have moved to another host. It does not
     /// count as load, but is reset if its target dies.
     pub(crate) is_idle: bool,
@@ -51,6 +53,12 @@
         flows.map(|(key, flow)| (*key, flow.last_acknowledged)).collect()
     }
 
+    /// The flows with a request under way, each with how long it has been.
+    pub(crate) fn busy(&self, now_ms: u64) -> impl Iterator<Item = (&FlowKey, TargetId, u64)> {
+        let busy = self.flows.iter().filter(|(_, flow)| flow.is_busy && !flow.is_idle);
+        busy.map(move |(key, flow)| (key, flow.target, now_ms.saturating_sub(flow.busy_since_ms)))
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.flows.len()
     }
@@ -68,6 +76,7 @@
             last_acknowledged: segment.acknowledged,
             repeats: 0,
             is_busy: segment.data_bytes > 0,
+            busy_since_ms: now_ms,
             is_idle: false,
         };
         self.flows.insert(segment.key, flow);
@@ -89,11 +98,15 @@
             flow.last_acknowledged = segment.acknowledged;
             flow.repeats = 0;
             flow.is_busy = segment.data_bytes > 0;
+            flow.busy_since_ms = now_ms;
             flow.last_sequence = segment.sequence;
             return Signal::Progress;
         }
         if is_first_data {
             flow.last_sequence = segment.sequence;
+            if !flow.is_busy {
+                flow.busy_since_ms = now_ms;
+            }
             flow.is_busy = true;
             flow.repeats = 0;
             return Signal::None;
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -12,7 +12,7 @@
     pub target: TargetId,
     /// Its open flows.
     pub flows: u32,
-    /// Those with a request under way.
+    /// Those with a request under way; one that is overdue counts as several.
     pub busy: u32,
     /// Whether the host holds it for dead.
     pub is_dead: bool,
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -19,6 +19,13 @@
 /// after 200 ms, several times a round trip.
 const STALLED_REPEATS: u8 = 1;
 
+/// By how many times its aim a request has to be under way to be overdue. Most take a quarter of it.
+const OVERDUE_AIMS: u64 = 2;
+
+/// How many requests an overdue one counts as: as many as keep new flows away while other targets of
+/// the users' larger sites hold 30 flows for each slot.
+const OVERDUE_WEIGHT: u32 = 20;
+
 /// How often tables are swept, in milliseconds.
 const SWEEP_MS: u64 = 500;
 
@@ -83,9 +90,19 @@
     busy: u32,
     /// The flows that may have moved to another host.
     idle: u32,
+    /// The requests that are under way for much longer than they should.
+    overdue: u32,
 }
 
 impl OwnLoad {
+    /// The requests under way, as placement counts them.
+    ///
+    /// Load pattern: a target that hangs takes requests, answers none, and turns away what its queue
+    /// does not hold, quickly. It looks no fuller than others.
+    fn weighed_busy(&self) -> u32 {
+        self.busy + OVERDUE_WEIGHT * self.overdue
+    }
+
     fn add(&mut self, flow: &Flow) {
         match flow.is_idle {
             true => self.idle += 1,
@@ -179,6 +196,7 @@
             }
         });
         self.has_load_news |= has_expired;
+        self.count_overdue(view, now_ms);
         self.openings.sweep(self.config.opening_memory_ms, now_ms);
         self.unknown.sweep(2 * self.config.unknown_ms, now_ms);
         self.others.expire(&self.config, now_ms);
@@ -197,6 +215,17 @@
         }
     }
 
+    fn count_overdue(&mut self, view: View<'_>, now_ms: u64) {
+        self.own.values_mut().for_each(|own| own.overdue = 0);
+        for (key, target, under_way_ms) in self.flows.busy(now_ms) {
+            let Some(listener) = view.directory.find_listener(key.listener) else { continue };
+            if under_way_ms > OVERDUE_AIMS * u64::from(listener.aim_ms) {
+                self.own.entry(target).or_default().overdue += 1;
+                self.has_load_news = true;
+            }
+        }
+    }
+
     /// A new view is in force: targets that are gone are checked if this host sees flows of them,
     /// and targets that are slow after their start are noted.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
@@ -281,7 +310,7 @@
             .map(|(target, own)| TargetLoad {
                 target: *target,
                 flows: own.flows,
-                busy: own.busy,
+                busy: own.weighed_busy(),
                 is_dead: self.health.standing(*target) == Standing::Dead,
             })
             .collect();
--- a/crates/tagged/src/traffic/placing.rs
+++ b/crates/tagged/src/traffic/placing.rs
@@ -174,7 +174,7 @@
         let own = self.own.get(&target).copied().unwrap_or_default();
         let others = self.others.get(target);
         let flows = f64::from(own.flows + others.flows);
-        let busy = f64::from(own.busy + others.busy);
+        let busy = f64::from(own.weighed_busy() + others.busy);
         (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
     }
 }
--- /dev/null
+++ b/crates/tagged/tests/hanging_target.rs
@@ -0,0 +1,67 @@
+//! Targets that take requests and do not answer them.
+
+mod support;
+
+use std::collections::HashMap;
+
+use catalog::{FlowTag, TargetId};
+use support::{Host, NEAR, data};
+use tagged::{Segment, View};
+
+fn tick(host: &mut Host, duration_ms: u64) {
+    for _ in 0..duration_ms / 100 {
+        host.now_ms += 100;
+        let view = View { directory: &host.directory, age_ms: 100 };
+        host.traffic.on_tick(view, host.now_ms);
+    }
+}
+
+/// The caller of a flow acknowledges an answer.
+fn acknowledge(host: &mut Host, caller: u16, tag: FlowTag) {
+    host.send(&Segment { data_bytes: 0, ..data(caller, tag, 110, 500) });
+}
+
+/// Opens the flows of callers and sends a request on each.
+fn request(host: &mut Host, callers: std::ops::Range<u16>) -> Vec<(u16, TargetId, FlowTag)> {
+    callers
+        .map(|caller| {
+            let (target, tag) = host.open(caller, 0);
+            host.send(&data(caller, tag, 10, 10));
+            (caller, target, tag)
+        })
+        .collect()
+}
+
+#[test]
+fn no_answer() {
+    let mut host = Host::new(&[(1, NEAR), (2, NEAR), (3, NEAR)]);
+    let hanging = TargetId(2);
+    for (caller, target, tag) in request(&mut host, 0..30) {
+        if target != hanging {
+            acknowledge(&mut host, caller, tag);
+        }
+    }
+    // Twice the aim of 250 ms, and a sweep.
+    tick(&mut host, 1_200);
+    let mut counts: HashMap<TargetId, usize> = HashMap::new();
+    for (_, target, _) in request(&mut host, 100..130) {
+        *counts.entry(target).or_default() += 1;
+    }
+    assert_eq!(counts.get(&hanging), None, "{counts:?}");
+    let load = host.traffic.loads().into_iter().find(|load| load.target == hanging);
+    assert!(load.is_some_and(|load| load.busy > 100), "others hear of it");
+}
+
+#[test]
+fn answers_again() {
+    let mut host = Host::new(&[(1, NEAR), (2, NEAR)]);
+    let flows = request(&mut host, 0..20);
+    tick(&mut host, 1_200);
+    for (caller, _, tag) in flows {
+        acknowledge(&mut host, caller, tag);
+    }
+    tick(&mut host, 600);
+    assert!(host.traffic.loads().iter().all(|load| load.busy <= 10), "nothing is overdue");
+    let targets = request(&mut host, 100..110).into_iter().map(|flow| flow.1);
+    assert_eq!(targets.filter(|target| target.0 == 1).count(), 5);
+}
