Take the first acknowledgement of a flow for the target's answer

Cause: a flow that was opened here remembered 0 as acknowledged. A target's numbers may start anywhere; for those in the upper half nothing ever counted as progress, and the flow's request was under way for good.

Found by the waits that hosts now report: a histogram answer_wait by listener and kind of request (idempotent, unsafe, download), and /flows on the admin page, which 'wagtailstall flows' shows for these hosts as well; 'wagtailstall status' shows role, flows and age of the view.

tagged hanging_target any_first_number fails before (no sample, one request under way); tagged_path operator_pages reads the pages of real hosts.

--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -8,10 +8,10 @@
     time::Duration,
 };
 
-use catalog::Directory;
+use catalog::{Directory, Kind};
 use eyre::{Result, WrapErr};
 use tagged::{Config, Segment, Traffic, Verdict, View};
-use telemetry::{Event, field};
+use telemetry::{Event, Histogram, field};
 
 use crate::{
     Platform, clock,
@@ -47,6 +47,8 @@
 pub(crate) struct DataThread<P> {
     shared: Arc<Shared>,
     traffic: Traffic,
+    /// How long requests waited for their answers, by listener and kind.
+    answer_wait: Histogram,
     directory: Option<Arc<Directory>>,
     held: Vec<Held>,
     out: Vec<u8>,
@@ -65,8 +67,10 @@
             .wrap_err("the data socket takes no time limit")?;
         let config = Config { domain_seed: shared.domain_seed, ..Config::default() };
         let traffic = Traffic::new(config, shared.me.0 ^ shared.incarnation);
+        let answer_wait = shared.metrics.histogram("answer_wait");
         Ok(DataThread {
             shared,
+            answer_wait,
             traffic,
             directory: None,
             held: Vec::new(),
@@ -180,6 +184,10 @@
                 Command::Checked { target, verdict, started_at_ms } => {
                     self.traffic.on_check(target, verdict, started_at_ms, now_ms);
                 }
+                Command::Explain(key, answer) => {
+                    // Who asked may have hung up.
+                    let _ = answer.try_send(self.traffic.flow_report(&key, now_ms));
+                }
             }
         }
     }
@@ -199,6 +207,10 @@
         for due in self.traffic.take_due_checks(self.drained_at_ms, now_ms) {
             self.tell(Notice::Check(due));
         }
+        for sample in self.traffic.take_samples() {
+            let listener = sample.listener.to_string();
+            self.answer_wait.record(sample.answer_ms, &listener, kind_name(sample.kind));
+        }
         let (events, left_out) = self.traffic.take_events();
         if !events.is_empty() {
             self.tell(Notice::Events(events, left_out));
@@ -219,6 +231,15 @@
     }
 }
 
+/// The kind of request in labels of metrics.
+fn kind_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Idempotent => "idempotent",
+        Kind::Unsafe => "unsafe",
+        Kind::Download => "download",
+    }
+}
+
 fn length_of(received: io::Result<(usize, SocketAddr)>) -> Result<Option<usize>> {
     match received {
         Ok((length, _)) => Ok(Some(length)),
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -6,11 +6,14 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn};
 use serde_json::{Value, json};
-use smol::net::{TcpListener, TcpStream};
+use smol::{
+    channel::bounded,
+    net::{TcpListener, TcpStream},
+};
 use smol_hyper::rt::FuturesIo;
-use tagged::Counters;
+use tagged::{Counters, FlowKey};
 
-use crate::{Platform, clock, control_thread::State};
+use crate::{Platform, clock, control_thread::State, shared::Command};
 
 /// Opens the port at `address`.
 pub(crate) async fn listen(name: &str, address: SocketAddr) -> Result<TcpListener> {
@@ -54,8 +57,10 @@
             Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, format!("{error:#}\n")),
         },
         "/status" => respond(StatusCode::OK, status(state).to_string()),
+        "/flows" => flows(state, request.uri().query().unwrap_or("")).await,
         path => {
-            let text = format!("no page {path}; there are {}, /metrics, /status\n", P::READY_PATH);
+            let ready = P::READY_PATH;
+            let text = format!("no page {path}; there are {ready}, /metrics, /status, /flows\n");
             respond(StatusCode::NOT_FOUND, text)
         }
     })
@@ -98,6 +103,50 @@
     })
 }
 
+/// What this host knows of a flow: where its packets go, and what it thinks of the target.
+async fn flows(state: &State, query: &str) -> Response<Full<Bytes>> {
+    let Some(key) = parse_key(query) else {
+        let text = "ask /flows?caller=IP:PORT&service=IP:PORT\n".to_owned();
+        return respond(StatusCode::BAD_REQUEST, text);
+    };
+    let (answer, answered) = bounded(1);
+    let is_asked = state.shared.commands.0.try_send(Command::Explain(key, answer)).is_ok();
+    state.shared.wake_data_thread();
+    let report = if is_asked { answered.recv().await.ok().flatten() } else { None };
+    let directory = state.shared.directory.load_full();
+    let is_listener =
+        directory.as_ref().is_some_and(|all| all.find_listener(key.listener).is_some());
+    let target = report.and_then(|report| {
+        let all = directory.as_ref()?;
+        let index = all.find_target(report.target)?;
+        let target = all.target(index);
+        Some(json!({
+            "id": format!("{:x}", target.id.0),
+            "address": target.address,
+            "presence": format!("{:?}", all.presence(index)),
+            "stage": format!("{:?}", target.stage),
+            "standing": format!("{:?}", report.standing),
+        }))
+    });
+    let body = json!({
+        "listener": is_listener,
+        "known": report.is_some(),
+        "target": target,
+        "silence_ms": report.map(|report| report.silence_ms),
+        "request_under_way": report.map(|report| report.is_busy),
+        "repeats": report.map(|report| report.repeats),
+    });
+    respond(StatusCode::OK, body.to_string())
+}
+
+fn parse_key(query: &str) -> Option<FlowKey> {
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|pair| pair.0 == name)?.1.parse().ok()
+    };
+    Some(FlowKey { caller: value("caller")?, listener: value("service")? })
+}
+
 /// Registers the counters of the data thread.
 pub(crate) fn observe_counters(state: &State) {
     for (counter, name) in Counters::NAMES {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use routing::HostId;
 use settings::name_seed;
 use smol::channel::{Receiver, Sender, bounded};
-use tagged::{CheckVerdict, Counters, DueCheck, Event, HostLoad, LoadNews};
+use tagged::{CheckVerdict, Counters, DueCheck, Event, FlowKey, FlowReport, HostLoad, LoadNews};
 use telemetry::Metrics;
 use wire::PeerKey;
 
@@ -46,6 +46,8 @@
         /// When the check began.
         started_at_ms: u64,
     },
+    /// An operator asks for a flow.
+    Explain(FlowKey, Sender<Option<FlowReport>>),
 }
 
 /// What the data thread publishes about itself.
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -1,6 +1,8 @@
 //! What is worth a log line.
 
-use catalog::TargetId;
+use std::net::SocketAddrV4;
+
+use catalog::{Kind, TargetId};
 
 use crate::{FlowKey, Standing};
 
@@ -91,3 +93,29 @@
         stalled_flows: u32,
     },
 }
+
+/// How long a request waited for the first part of its answer, as this host saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sample {
+    /// The listener's address.
+    pub listener: SocketAddrV4,
+    /// What its requests permit.
+    pub kind: Kind,
+    /// The wait, in milliseconds.
+    pub answer_ms: u64,
+}
+
+/// What this host knows of one flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowReport {
+    /// Its target.
+    pub target: TargetId,
+    /// What this host thinks of the target.
+    pub standing: Standing,
+    /// How long ago its last packet came, in milliseconds.
+    pub silence_ms: u64,
+    /// Whether a request is under way.
+    pub is_busy: bool,
+    /// How many times its last data was sent again without an answer.
+    pub repeats: u8,
+}
--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -14,12 +14,14 @@
     pub(crate) last_packet_ms: u64,
     last_sequence: u32,
     last_acknowledged: u32,
+    /// Whether only its opening was seen, which acknowledges nothing yet.
+    is_opening: bool,
     /// How many times the last data was sent again without an answer.
     pub(crate) repeats: u8,
     /// Whether a request is under way: data was sent and nothing has come back since.
     pub(crate) is_busy: bool,
     /// Since when.
-    busy_since_ms: u64,
+    pub(crate) busy_since_ms: u64,
     /// Whether no packet came for so long that the flow may have moved to another host. It does not
     /// count as load, but is reset if its target dies.
     pub(crate) is_idle: bool,
@@ -74,6 +76,7 @@
             last_packet_ms: now_ms,
             last_sequence: segment.sequence,
             last_acknowledged: segment.acknowledged,
+            is_opening: matches!(segment.kind, SegmentKind::Open { .. }),
             repeats: 0,
             is_busy: segment.data_bytes > 0,
             busy_since_ms: now_ms,
@@ -90,8 +93,11 @@
         if matches!(segment.kind, SegmentKind::Open { .. }) {
             return Signal::None;
         }
+        // The first acknowledgement is of the target's own number, which may be any.
+        let is_opened = std::mem::take(&mut flow.is_opening);
         // Serial number arithmetic: the numbers wrap around.
-        let has_advanced = segment.acknowledged.wrapping_sub(flow.last_acknowledged) as i32 > 0;
+        let has_advanced =
+            is_opened || segment.acknowledged.wrapping_sub(flow.last_acknowledged) as i32 > 0;
         let is_new_data = segment.sequence.wrapping_sub(flow.last_sequence) as i32 > 0;
         let is_first_data = segment.data_bytes > 0 && (is_new_data || !flow.is_busy);
         if has_advanced {
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -27,7 +27,7 @@
     choice::{Candidate, Doubt, Draw, choose},
     config::Config,
     counters::{Counter, Counters},
-    event::{Event, Reason},
+    event::{Event, FlowReport, Reason, Sample},
     health::{DueCheck, Health, Standing, Verdict as CheckVerdict},
     load::{HostLoad, LoadBoard, TargetLoad},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -2,14 +2,14 @@
 
 mod placing;
 
-use catalog::{Directory, Presence, TargetId, TargetIndex};
+use catalog::{Directory, Listener, Presence, TargetId, TargetIndex};
 use hashbrown::HashMap;
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::placing::OpeningRate;
 use crate::{
-    CheckVerdict, Config, Counter, Counters, DueCheck, Event, Health, HostLoad, LoadBoard, Reason,
-    Segment, SegmentKind, Standing, TargetLoad, Verdict,
+    CheckVerdict, Config, Counter, Counters, DueCheck, Event, FlowKey, FlowReport, Health,
+    HostLoad, LoadBoard, Reason, Sample, Segment, SegmentKind, Standing, TargetLoad, Verdict,
     flows::{Flow, FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
@@ -32,6 +32,9 @@
 /// How many events are kept between two calls of [`Traffic::take_events`].
 const EVENTS_MAX: usize = 256;
 
+/// How many samples are kept between two calls of [`Traffic::take_samples`].
+const SAMPLES_MAX: usize = 256;
+
 /// What a host knows when a packet comes.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -66,6 +69,7 @@
     counters: Counters,
     events: Vec<Event>,
     events_left_out: u64,
+    samples: Vec<Sample>,
     swept_at_ms: u64,
     has_load_news: bool,
     has_dead_news: bool,
@@ -140,6 +144,7 @@
             counters: Counters::default(),
             events: Vec::new(),
             events_left_out: 0,
+            samples: Vec::new(),
             swept_at_ms: 0,
             has_load_news: false,
             has_dead_news: false,
@@ -159,6 +164,24 @@
         self.flows.len()
     }
 
+    /// What this host knows of the flow `key`; nothing if no packet of it came here lately.
+    pub fn flow_report(&self, key: &FlowKey, now_ms: u64) -> Option<FlowReport> {
+        let flow = self.flows.get(key)?;
+        Some(FlowReport {
+            target: flow.target,
+            standing: self.health.standing(flow.target),
+            silence_ms: now_ms.saturating_sub(flow.last_packet_ms),
+            is_busy: flow.is_busy,
+            repeats: flow.repeats,
+        })
+    }
+
+    /// Takes the waits of requests that were answered since the last call. Some are left out if
+    /// there were many.
+    pub fn take_samples(&mut self) -> Vec<Sample> {
+        std::mem::take(&mut self.samples)
+    }
+
     /// Takes the events since the last call, and how many did not fit.
     pub fn take_events(&mut self) -> (Vec<Event>, u64) {
         (std::mem::take(&mut self.events), std::mem::take(&mut self.events_left_out))
@@ -386,11 +409,11 @@
                 return Verdict::Reset(Reason::TargetGone);
             }
         }
-        if view.directory.find_listener(segment.key.listener).is_none() {
+        let Some(listener) = view.directory.find_listener(segment.key.listener) else {
             self.release_flow(segment);
             return self.refuse(view, Reason::NoListener);
-        }
-        self.observe(segment, target.id, now_ms);
+        };
+        self.observe(segment, listener, target.id, now_ms);
         if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
             self.release_flow(segment);
             return Verdict::Reset(Reason::TargetDead);
@@ -419,7 +442,7 @@
         Verdict::Drop(Reason::StaleView)
     }
 
-    fn observe(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
+    fn observe(&mut self, segment: &Segment, listener: &Listener, target: TargetId, now_ms: u64) {
         let known = self.flows.get(&segment.key).copied();
         if known.is_none_or(|flow| flow.target != target) {
             self.release_flow(segment);
@@ -430,6 +453,9 @@
         let own = self.own.entry(target).or_default();
         known.iter().for_each(|flow| own.subtract(flow));
         self.flows.get(&segment.key).into_iter().for_each(|flow| own.add(flow));
+        if signal == Signal::Progress {
+            self.sample(known.as_ref(), listener, now_ms);
+        }
         let has_changed = match signal {
             Signal::None => false,
             Signal::Progress => self.health.on_progress(target, now_ms),
@@ -446,6 +472,18 @@
         }
     }
 
+    /// Notes how long the request of `known`, the flow before its answer came, has waited.
+    fn sample(&mut self, known: Option<&Flow>, listener: &Listener, now_ms: u64) {
+        let Some(flow) = known.filter(|flow| flow.is_busy) else { return };
+        if self.samples.len() < SAMPLES_MAX {
+            self.samples.push(Sample {
+                listener: listener.address,
+                kind: listener.kind,
+                answer_ms: now_ms.saturating_sub(flow.busy_since_ms),
+            });
+        }
+    }
+
     fn add_flow(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
         if self.flows.len() >= self.config.flows_max || segment.kind == SegmentKind::Abort {
             return;
--- a/crates/tagged/tests/hanging_target.rs
+++ b/crates/tagged/tests/hanging_target.rs
@@ -52,6 +52,20 @@
     assert!(load.is_some_and(|load| load.busy > 100), "others hear of it");
 }
 
+#[test]
+fn any_first_number() {
+    let mut host = Host::new(&[(1, NEAR)]);
+    let (target, tag) = host.open(1, 0);
+    // The target's numbers start in the upper half.
+    host.send(&data(1, tag, 10, 0xf000_0000));
+    host.now_ms += 40;
+    host.send(&Segment { data_bytes: 0, ..data(1, tag, 110, 0xf000_0fa0) });
+    let samples = host.traffic.take_samples();
+    assert_eq!(samples.iter().map(|sample| sample.answer_ms).collect::<Vec<u64>>(), [40]);
+    let load = host.traffic.loads().into_iter().find(|load| load.target == target);
+    assert_eq!(load.map(|load| load.busy), Some(0));
+}
+
 #[test]
 fn answers_again() {
     let mut host = Host::new(&[(1, NEAR), (2, NEAR)]);
--- a/crates/wagtailstall/src/hosts.rs
+++ b/crates/wagtailstall/src/hosts.rs
@@ -56,7 +56,16 @@
     match context.format {
         Format::Json => print_json(&Value::Array(values)),
         Format::Text => print_table(
-            &["admin", "host", "failure domain", "stage", "revision", "pins", "waiting"],
+            &[
+                "admin",
+                "host",
+                "failure domain",
+                "stage",
+                "revision",
+                "flows",
+                "waiting",
+                "view age",
+            ],
             &rows,
         ),
     }
@@ -90,6 +99,11 @@
             Value::Null => "-".to_owned(),
             value => value.to_string(),
         };
+        if report.get("known").is_some() {
+            rows.push(tagged_flow_row(*admin, &report));
+            values.push(report);
+            continue;
+        }
         rows.push(vec![
             admin.to_string(),
             cell("bucket"),
@@ -109,6 +123,22 @@
     Ok(())
 }
 
+/// The columns of [`flows`] for a host with tagged affinity: no host owns a flow there.
+fn tagged_flow_row(admin: SocketAddr, report: &Value) -> Vec<String> {
+    let target = &report["target"];
+    let text = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        value => value.to_string(),
+    };
+    let none = || "-".to_owned();
+    let state = match report["known"].as_bool() {
+        Some(true) => format!("{}, {}", text(&target["standing"]), text(&target["presence"])),
+        _ => "no packet here lately".to_owned(),
+    };
+    vec![admin.to_string(), none(), none(), none(), text(&target["address"]), state]
+}
+
 /// The hosts that answer and are not yet at `revision`. A host that does not answer is not live.
 pub(crate) async fn behind(context: &Context, revision: u64) -> Vec<SocketAddr> {
     let mut behind = Vec::new();
@@ -137,17 +167,23 @@
 }
 
 fn status_row(admin: SocketAddr, status: &Value) -> Vec<String> {
-    let cell = |name: &str| match &status[name] {
-        Value::String(text) => text.clone(),
-        value => value.to_string(),
+    // Hosts with tagged affinity have a role in place of a stage and flows in place of pins.
+    let cell = |names: &[&str]| {
+        let value = names.iter().map(|name| &status[*name]).find(|value| !value.is_null());
+        match value {
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => "-".to_owned(),
+        }
     };
     vec![
         admin.to_string(),
-        cell("host"),
-        cell("failure_domain"),
-        cell("stage"),
-        cell("revision"),
-        cell("pins"),
-        cell("waiting"),
+        cell(&["host"]),
+        cell(&["failure_domain"]),
+        cell(&["stage", "role"]),
+        cell(&["revision"]),
+        cell(&["pins", "flows"]),
+        cell(&["waiting"]),
+        cell(&["view_age_ms"]),
     ]
 }
--- a/crates/wagtailstalld/tests/tagged_path.rs
+++ b/crates/wagtailstalld/tests/tagged_path.rs
@@ -89,3 +89,34 @@
     check_served(&observe(&bed, 1_000));
     check_kept(&bed);
 }
+
+#[test]
+fn operator_pages() {
+    let bed = bed("operator_pages");
+    check_served(&observe(&bed, 2_500));
+    let get = |host: usize, path: &str| {
+        let answer = store::get_text(bed.admin_address(host), path, Duration::from_secs(2));
+        smol::block_on(answer).expect("the page answers")
+    };
+
+    // A caller's flows may all go through one host.
+    let pages: Vec<(u16, String)> =
+        (0..bed.host_count()).map(|host| get(host, "/metrics")).collect();
+    assert!(pages.iter().all(|page| page.0 == 200));
+    let has_waits = |page: &(u16, String)| {
+        let mut waits = page.1.lines().filter(|line| line.starts_with("answer_wait"));
+        waits.any(|line| line.contains(r#"class="idempotent""#))
+    };
+    assert!(pages.iter().any(has_waits), "no waits by class in {pages:#?}");
+
+    let (status, text) = get(0, "/status");
+    assert_eq!(status, 200);
+    assert!(text.contains(r#""view_age_ms""#) && text.contains(r#""role""#), "{text}");
+
+    let flow = format!("/flows?caller=100.64.0.1:1&service={}", bed.listener(0));
+    let (status, text) = get(0, &flow);
+    assert_eq!(status, 200);
+    assert!(text.contains(r#""known":false"#) && text.contains(r#""listener":true"#), "{text}");
+    assert_eq!(get(0, "/flows?caller=nobody").0, 400);
+    assert_eq!(get(0, "/else").0, 404);
+}
