--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -8,8 +8,8 @@
 //! This crate has no sockets, clocks or threads: segments and a steady time go in, verdicts come
 //! out.
 //!
-//! Architecture Invariant: a flow is reset only if its target is gone, proven dead or its listener
-//! was removed, and never on a view that may be out of date.
+//! Architecture Invariant: a flow is reset only if its target was replaced at its address, proven
+//! dead or its listener was removed, and never on a view that may be out of date.
 
 mod choice;
 mod config;
