--- a/crates/tagged/src/traffic/mod.rs
+++ b/crates/tagged/src/traffic/mod.rs
@@ -1,15 +1,21 @@
 //! What happens to each packet of a caller.
 
+mod loads;
 mod placing;
+mod targets;
 
-use catalog::{Directory, Listener, Presence, TargetId, TargetIndex};
+use catalog::{Directory, Listener, Presence, TargetId};
 use hashbrown::HashMap;
 use rand::{SeedableRng, rngs::StdRng};
 
-use self::placing::OpeningRate;
+pub use self::loads::LoadNews;
+use self::{
+    loads::{OwnLoad, release},
+    placing::OpeningRate,
+};
 use crate::{
-    CheckVerdict, Config, Counter, Counters, DueCheck, Event, FlowKey, FlowReport, Health,
-    HostLoad, LoadBoard, Reason, Sample, Segment, SegmentKind, Standing, TargetLoad, Verdict,
+    Config, Counter, Counters, Event, FlowKey, FlowReport, Health, LoadBoard, Reason, Sample,
+    Segment, SegmentKind, Standing, Verdict,
     flows::{Flow, FlowTable, Signal},
     openings::OpeningTable,
     unknown::UnknownTable,
@@ -19,13 +25,6 @@
 /// after 200 ms, several times a round trip.
 const STALLED_REPEATS: u8 = 1;
 
-/// By how many times its aim a request has to be under way to be overdue. Most take a quarter of it.
-const OVERDUE_AIMS: u64 = 2;
-
-/// How many requests an overdue one counts as: as many as keep new flows away while other targets of
-/// the users' larger sites hold 30 flows for each slot.
-const OVERDUE_WEIGHT: u32 = 20;
-
 /// How often tables are swept, in milliseconds.
 const SWEEP_MS: u64 = 500;
 
@@ -44,15 +43,6 @@
     pub age_ms: u64,
 }
 
-/// What others should hear of this host's flows.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoadNews {
-    /// The flows of each target, sorted by target.
-    pub loads: Vec<TargetLoad>,
-    /// Whether a target was found dead, so that others should hear of it at once.
-    pub is_urgent: bool,
-}
-
 /// The state of one host's decisions.
 #[derive(Debug)]
 pub struct Traffic {
@@ -86,48 +76,6 @@
     total_ms: u32,
 }
 
-/// The flows of one target that this host sees.
-#[derive(Debug, Clone, Copy, Default)]
-struct OwnLoad {
-    flows: u32,
-    /// Those of them with a request under way.
-    busy: u32,
-    /// The flows that may have moved to another host.
-    idle: u32,
-    /// The requests that are under way for much longer than they should.
-    overdue: u32,
-}
-
-impl OwnLoad {
-    /// The requests under way, as placement counts them.
-    ///
-    /// Load pattern: a target that hangs takes requests, answers none, and turns away what its queue
-    /// does not hold, quickly. It looks no fuller than others.
-    fn weighed_busy(&self) -> u32 {
-        self.busy + OVERDUE_WEIGHT * self.overdue
-    }
-
-    fn add(&mut self, flow: &Flow) {
-        match flow.is_idle {
-            true => self.idle += 1,
-            false => {
-                self.flows += 1;
-                self.busy += u32::from(flow.is_busy);
-            }
-        }
-    }
-
-    fn subtract(&mut self, flow: &Flow) {
-        match flow.is_idle {
-            true => self.idle = self.idle.saturating_sub(1),
-            false => {
-                self.flows = self.flows.saturating_sub(1);
-                self.busy = self.busy.saturating_sub(u32::from(flow.is_busy));
-            }
-        }
-    }
-}
-
 impl Traffic {
     /// Creates the state. `seed` makes its choices repeatable.
     pub fn new(config: Config, seed: u64) -> Traffic {
@@ -238,111 +186,6 @@
         }
     }
 
-    fn count_overdue(&mut self, view: View<'_>, now_ms: u64) {
-        self.own.values_mut().for_each(|own| own.overdue = 0);
-        for (key, target, under_way_ms) in self.flows.busy(now_ms) {
-            let Some(listener) = view.directory.find_listener(key.listener) else { continue };
-            if under_way_ms > OVERDUE_AIMS * u64::from(listener.aim_ms) {
-                self.own.entry(target).or_default().overdue += 1;
-                self.has_load_news = true;
-            }
-        }
-    }
-
-    /// A new view is in force: targets that are gone are checked if this host sees flows of them,
-    /// and targets that are slow after their start are noted.
-    pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
-        self.revision = directory.revision;
-        let is_listed = |index| directory.presence(index) != Presence::Gone;
-        self.health.on_listed(|target| directory.find_target(target).is_some_and(is_listed));
-        let own = self.own.keys().filter_map(|target| directory.find_target(*target));
-        let gone: Vec<TargetIndex> = own.filter(|index| !is_listed(*index)).collect();
-        for index in gone {
-            let target = directory.target(index).id;
-            self.health.on_gone(target, now_ms);
-            if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
-                self.reset_flows(target, Reason::TargetGone);
-            }
-        }
-        self.warmups.retain(|target, _| directory.find_target(*target).is_some());
-        for position in 0..directory.target_count() {
-            let target = directory.target(TargetIndex(position));
-            if target.warmup_ms > 0 {
-                let total_ms = target.warmup_ms;
-                let ends_at_ms = now_ms + u64::from(total_ms);
-                self.warmups.entry(target.id).or_insert(Warmup { ends_at_ms, total_ms });
-            }
-        }
-    }
-
-    /// The checks that are to be made now. `drained_at_ms` is when no packet waited last: what came
-    /// before has been seen.
-    pub fn take_due_checks(&mut self, drained_at_ms: u64, now_ms: u64) -> Vec<DueCheck> {
-        for target in self.openings.take_unanswered(self.config.handshake_ms, drained_at_ms) {
-            self.note_unanswered(target, now_ms);
-        }
-        let own = &self.own;
-        let has_flows = |target| own.contains_key(&target);
-        self.health.take_due_checks(has_flows, &self.config, now_ms)
-    }
-
-    /// A check that was started at `started_at_ms` has ended.
-    pub fn on_check(
-        &mut self,
-        target: TargetId,
-        verdict: CheckVerdict,
-        started_at_ms: u64,
-        now_ms: u64,
-    ) {
-        if self.health.on_check(target, verdict, started_at_ms, &self.config, now_ms) {
-            self.follow_standing(target);
-        }
-    }
-
-    /// Another host tells what it sees.
-    pub fn on_report(&mut self, load: HostLoad, now_ms: u64) {
-        let dead: Vec<TargetId> =
-            load.targets.iter().filter(|load| load.is_dead).map(|load| load.target).collect();
-        self.others.on_report(load, now_ms);
-        for target in dead {
-            let has_flows = self.own.contains_key(&target);
-            if self.health.on_reported_dead(target, has_flows, &self.config, now_ms) {
-                self.follow_standing(target);
-            }
-        }
-    }
-
-    /// The flows that are to be reset at once, since their targets are gone or dead. A caller may
-    /// wait for an answer without sending anything.
-    pub fn take_resets(&mut self) -> Vec<Segment> {
-        std::mem::take(&mut self.resets)
-    }
-
-    /// The flows that this host sees, for the others, if they changed since the last call.
-    pub fn take_load_news(&mut self) -> Option<LoadNews> {
-        let is_urgent = std::mem::take(&mut self.has_dead_news);
-        let loads = std::mem::take(&mut self.has_load_news).then(|| self.loads())?;
-        Some(LoadNews { loads, is_urgent })
-    }
-
-    /// The flows that this host sees, sorted by target.
-    pub fn loads(&self) -> Vec<TargetLoad> {
-        let mut loads: Vec<TargetLoad> = self
-            .own
-            .iter()
-            .map(|(target, own)| TargetLoad {
-                target: *target,
-                flows: own.flows,
-                busy: own.weighed_busy(),
-                is_dead: self.health.standing(*target) == Standing::Dead,
-            })
-            .collect();
-        let idle = self.health.dead().filter(|target| !self.own.contains_key(target));
-        loads.extend(idle.map(|target| TargetLoad { target, flows: 0, busy: 0, is_dead: true }));
-        loads.sort_unstable_by_key(|load| load.target);
-        loads
-    }
-
     fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
             return self.refuse(view, Reason::NoListener);
@@ -484,23 +327,6 @@
         }
     }
 
-    fn add_flow(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
-        if self.flows.len() >= self.config.flows_max || segment.kind == SegmentKind::Abort {
-            return;
-        }
-        self.flows.add(segment, target, now_ms);
-        let own = self.own.entry(target).or_default();
-        self.flows.get(&segment.key).into_iter().for_each(|flow| own.add(flow));
-        self.has_load_news = true;
-    }
-
-    fn release_flow(&mut self, segment: &Segment) {
-        if let Some(flow) = self.flows.remove(&segment.key) {
-            release(&mut self.own, &flow);
-            self.has_load_news = true;
-        }
-    }
-
     fn note_reset(&mut self, view: View<'_>, segment: &Segment, reason: Reason) {
         self.counters.count_reset(reason);
         let target = segment.tag.and_then(|tag| view.directory.find_tag(tag));
@@ -513,50 +339,6 @@
         });
     }
 
-    fn note_unanswered(&mut self, target: TargetId, now_ms: u64) {
-        if self.health.on_failed_opening(target, &self.config, now_ms) {
-            self.counters.count(Counter::Suspected);
-            self.note_standing(target);
-        }
-    }
-
-    /// A target's standing changed: others hear of it, and the flows of a dead one are reset.
-    fn follow_standing(&mut self, target: TargetId) {
-        self.has_load_news = true;
-        self.note_standing(target);
-        if self.health.standing(target) == Standing::Dead {
-            self.has_dead_news = true;
-            self.reset_flows(target, Reason::TargetDead);
-        }
-    }
-
-    fn reset_flows(&mut self, target: TargetId, reason: Reason) {
-        let (revision, view_age_ms) = (self.revision, 0);
-        for (key, acknowledged) in self.flows.of_target(target) {
-            let segment = Segment {
-                key,
-                kind: SegmentKind::Data,
-                tag: None,
-                sequence: 0,
-                acknowledged,
-                data_bytes: 0,
-            };
-            self.release_flow(&segment);
-            self.counters.count_reset(reason);
-            self.note(Event::Reset { key, target: Some(target), reason, revision, view_age_ms });
-            self.resets.push(segment);
-        }
-    }
-
-    fn note_standing(&mut self, target: TargetId) {
-        let standing = self.health.standing(target);
-        if standing == Standing::Dead {
-            self.counters.count(Counter::Dead);
-        }
-        let (failed_openings, stalled_flows) = self.health.evidence(target);
-        self.note(Event::Standing { target, standing, failed_openings, stalled_flows });
-    }
-
     fn note(&mut self, event: Event) {
         if self.events.len() < EVENTS_MAX {
             self.events.push(event);
@@ -566,14 +348,6 @@
     }
 }
 
-fn release(own: &mut HashMap<TargetId, OwnLoad>, flow: &Flow) {
-    let Some(load) = own.get_mut(&flow.target) else { return };
-    load.subtract(flow);
-    if load.flows + load.idle == 0 {
-        own.remove(&flow.target);
-    }
-}
-
 fn forward(view: View<'_>, target: TargetId) -> Option<Verdict> {
     let index = view.directory.find_target(target)?;
     let tag = view.directory.tag_for(index)?;
