--- a/crates/tagged/tests/reused_address.rs
+++ b/crates/tagged/tests/reused_address.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use catalog::{Presence, Record, Row, TargetId};
+use catalog::{FlowTag, Presence, Record, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict, View};
 
@@ -35,6 +35,11 @@
     host
 }
 
+fn tag_of_dead(host: &Host) -> FlowTag {
+    let tag = host.directory.find_target(DEAD).and_then(|index| host.directory.tag_for(index));
+    tag.expect("the target is known")
+}
+
 fn answer(host: &mut Host) {
     let now_ms = host.now_ms;
     host.traffic.on_check(DEAD, CheckVerdict::Answered, now_ms - 5, now_ms);
@@ -64,8 +69,7 @@
 #[test]
 fn own_progress() {
     let mut host = host_after_death();
-    let tag = host.directory.find_target(DEAD).and_then(|index| host.directory.tag_for(index));
-    let tag = tag.expect("the target is known");
+    let tag = tag_of_dead(&host);
     host.pass(3_000, false);
     answer(&mut host);
     // A flow that another host opened earlier moves here and goes on.
@@ -90,8 +94,7 @@
 #[test]
 fn gone_after_death() {
     let mut host = host_after_death();
-    let tag = host.directory.find_target(DEAD).and_then(|index| host.directory.tag_for(index));
-    let tag = tag.expect("the target is known");
+    let tag = tag_of_dead(&host);
     host.pass(3_000, false);
     answer(&mut host);
     host.send(&data(300, tag, 10, 10));
