--- a/crates/wagtailstalld/tests/tagged_path.rs
+++ b/crates/wagtailstalld/tests/tagged_path.rs
@@ -10,7 +10,9 @@
 
 /// Starts a bed of its own for the test `name`.
 fn bed(name: &str) -> Bed {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // Two runs at the same time must not write each other's settings.
+    let folder = format!("{name}-{}", std::process::id());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
     Bed::start(program, &folder, Layout { hosts: 2, ..Layout::default() }).expect("the bed starts")
 }
--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -5,7 +5,9 @@
 use platform_stand_ins::soak;
 
 fn check(seed: u64, seconds: u64) {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    // Two runs at the same time must not write each other's settings.
+    let folder = format!("soak-{seed}-{}", std::process::id());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
     let report = soak(program, &folder, seed, Duration::from_secs(seconds)).expect("the bed runs");
     let failures = report.failures();
--- a/crates/xtask/src/soak.rs
+++ b/crates/xtask/src/soak.rs
@@ -32,7 +32,7 @@
     let program = Path::new(&target).join("release/wagtailstalld");
     let mut failed = Vec::new();
     for seed in options.seed..options.seed + options.runs {
-        let folder = Path::new(&target).join(format!("soak/{seed}"));
+        let folder = Path::new(&target).join(format!("soak/{seed}-{}", std::process::id()));
         let duration = Duration::from_secs(options.seconds);
         let report = soak(&program, &folder, seed, duration)
             .wrap_err_with(|| format!("seed {seed}; logs are in {}", folder.display()))?;
--- a/crates/xtask/src/test.rs
+++ b/crates/xtask/src/test.rs
@@ -51,7 +51,8 @@
     let mut failed: Vec<String> = text
         .lines()
         .filter_map(|line| line.strip_prefix("    "))
-        .filter(|line| !line.contains(' '))
+        // Traces of failures name files at the same depth.
+        .filter(|line| line.chars().all(|letter| letter.is_alphanumeric() || "_:".contains(letter)))
         .map(str::to_owned)
         .collect();
     failed.sort();
