Log why a target's standing changed and who reported its death

Callers saw open flows reset although their target was sound. Event 1403 did not tell a death found by this host's own check from one that another host reported, a death by the loss of the entry was not logged at all, and 1404 did not name the target that was checked for comparison.

1403 now has the cause and the reporter, 1404 the reference, 1001 the id by which reports name a host. The counter targets_dead includes deaths by the loss of the entry.

--- a/crates/edge/src/checks.rs
+++ b/crates/edge/src/checks.rs
@@ -49,6 +49,7 @@
         Event::TargetChecked,
         &[
             field("target", format_args!("{:x}", due.target.0)),
+            field("reference", format_args!("{:x}", due.reference.map_or(0, |target| target.0))),
             field("verdict", format_args!("{verdict:?}")),
             field("answer", answer_text),
             field("took_ms", clock::now_ms() - started_at_ms),
--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -1,6 +1,6 @@
 //! Logs decisions about flows.
 
-use tagged::Event as Decision;
+use tagged::{Event as Decision, StandingCause};
 use telemetry::{Event, field};
 
 /// Logs `events`, and that `dropped` more were discarded before they could be logged.
@@ -42,12 +42,22 @@
                 field("view_age_ms", view_age_ms),
             ],
         ),
-        Decision::Standing { target, standing, failed_openings, stalled_flows } => {
+        Decision::Standing { target, standing, cause, failed_openings, stalled_flows } => {
+            let (cause, reporter) = match cause {
+                StandingCause::Evidence => ("Evidence", 0),
+                StandingCause::Check => ("Check", 0),
+                StandingCause::Report(host) => ("Report", host.0),
+                StandingCause::Progress => ("Progress", 0),
+                StandingCause::Unlisted => ("Unlisted", 0),
+                StandingCause::Expiry => ("Expiry", 0),
+            };
             telemetry::emit(
                 Event::TargetStanding,
                 &[
                     field("target", format_args!("{:x}", target.0)),
                     field("standing", format_args!("{standing:?}")),
+                    field("cause", cause),
+                    field("reporter", format_args!("{reporter:x}")),
                     field("failed_openings", failed_openings),
                     field("stalled_flows", stalled_flows),
                 ],
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -42,7 +42,11 @@
     let shared = Shared::new(settings)?;
     telemetry::emit(
         Event::Started,
-        &[field("peer_address", shared.settings.peer_address), field("boot", shared.incarnation)],
+        &[
+            field("peer_address", shared.settings.peer_address),
+            field("host_id", format_args!("{:x}", shared.me.0)),
+            field("boot", shared.incarnation),
+        ],
     );
     let data = {
         let shared = shared.clone();
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     Config, Counter, Counters, Event, FlowKey, FlowReport, Health, LatencySample, Reason,
-    ReportedLoads, Segment, SegmentKind, Standing, Verdict,
+    ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
     flows::{Flow, FlowSignal, FlowTable},
     openings::OpeningTable,
     unknown_tags::UnknownTagTable,
@@ -188,7 +188,7 @@
         let is_known = |target| directory.find_target(target).is_some();
         let cleared = self.health.expire(&self.config, now_ms, is_known, is_listed_after);
         for target in cleared {
-            self.record_standing(target);
+            self.record_standing(target, StandingCause::Expiry);
         }
     }
 
@@ -252,7 +252,7 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.health.on_gone(target.id, now_ms);
+            self.record_gone(target.id, now_ms);
             let is_dead = self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.remove_flow(segment);
@@ -314,19 +314,21 @@
         if signal == FlowSignal::Progress {
             self.record_latency(previous.as_ref(), listener, now_ms);
         }
-        let has_changed = match signal {
-            FlowSignal::None => false,
-            FlowSignal::Progress => self.health.on_progress(target, now_ms),
+        let (has_changed, cause) = match signal {
+            FlowSignal::Progress => {
+                (self.health.on_progress(target, now_ms), StandingCause::Progress)
+            }
             FlowSignal::Retransmission(STALLED_RETRANSMISSIONS) => {
-                self.health.on_stalled_flow(target, &self.config, now_ms)
+                let has_changed = self.health.on_stalled_flow(target, &self.config, now_ms);
+                (has_changed, StandingCause::Evidence)
             }
-            FlowSignal::Retransmission(_) => false,
+            FlowSignal::None | FlowSignal::Retransmission(_) => return,
         };
         if has_changed {
             if self.health.standing(target) == Standing::Suspect {
                 self.counters.count(Counter::Suspected);
             }
-            self.record_standing(target);
+            self.record_standing(target, cause);
         }
     }
 
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -5,7 +5,7 @@
 use super::Warmup;
 use crate::{
     CheckVerdict, Counter, Dispatcher, DueCheck, Event, HostLoad, Reason, Segment, SegmentKind,
-    Standing,
+    Standing, StandingCause,
 };
 
 impl Dispatcher {
@@ -21,7 +21,7 @@
             targets_with_flows.filter(|index| !is_listed(*index)).collect();
         for index in gone {
             let target = directory.target(index).id;
-            self.health.on_gone(target, now_ms);
+            self.record_gone(target, now_ms);
             if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
                 self.reset_flows(target, Reason::TargetGone);
             }
@@ -59,7 +59,7 @@
         now_ms: u64,
     ) {
         if self.health.on_check(target, verdict, started_at_ms, &self.config, now_ms) {
-            self.on_standing_change(target);
+            self.on_standing_change(target, StandingCause::Check);
         }
     }
 
@@ -67,11 +67,12 @@
     pub fn on_report(&mut self, load: HostLoad, now_ms: u64) {
         let dead: Vec<TargetId> =
             load.targets.iter().filter(|load| load.is_dead).map(|load| load.target).collect();
+        let cause = StandingCause::Report(load.host);
         self.reported.on_report(load, now_ms);
         for target in dead {
             let has_flows = self.own_load.contains_key(&target);
             if self.health.on_reported_dead(target, has_flows, &self.config, now_ms) {
-                self.on_standing_change(target);
+                self.on_standing_change(target, cause);
             }
         }
     }
@@ -85,14 +86,21 @@
     pub(super) fn record_unanswered(&mut self, target: TargetId, now_ms: u64) {
         if self.health.on_failed_opening(target, &self.config, now_ms) {
             self.counters.count(Counter::Suspected);
-            self.record_standing(target);
+            self.record_standing(target, StandingCause::Evidence);
+        }
+    }
+
+    /// Records that the store no longer lists `target`, to which this host sees flows.
+    pub(super) fn record_gone(&mut self, target: TargetId, now_ms: u64) {
+        if self.health.on_gone(target, now_ms) {
+            self.record_standing(target, StandingCause::Unlisted);
         }
     }
 
     /// Reports a changed standing to other hosts and resets the flows of a dead target.
-    pub(super) fn on_standing_change(&mut self, target: TargetId) {
+    fn on_standing_change(&mut self, target: TargetId, cause: StandingCause) {
         self.has_load_changes = true;
-        self.record_standing(target);
+        self.record_standing(target, cause);
         if self.health.standing(target) == Standing::Dead {
             self.has_new_deaths = true;
             self.reset_flows(target, Reason::TargetDead);
@@ -124,12 +132,18 @@
         }
     }
 
-    pub(super) fn record_standing(&mut self, target: TargetId) {
+    pub(super) fn record_standing(&mut self, target: TargetId, cause: StandingCause) {
         let standing = self.health.standing(target);
         if standing == Standing::Dead {
             self.counters.count(Counter::Dead);
         }
         let (failed_openings, stalled_flows) = self.health.evidence(target);
-        self.push_event(Event::Standing { target, standing, failed_openings, stalled_flows });
+        self.push_event(Event::Standing {
+            target,
+            standing,
+            cause,
+            failed_openings,
+            stalled_flows,
+        });
     }
 }
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use catalog::{RequestKind, TargetId};
+use routing::HostId;
 
 use crate::{FlowKey, Standing};
 
@@ -48,6 +49,23 @@
     }
 }
 
+/// Why a target's standing changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandingCause {
+    /// Unanswered openings or stalled flows of this host.
+    Evidence,
+    /// A health check by this host.
+    Check,
+    /// A report of the target's death by this host.
+    Report(HostId),
+    /// A flow of the target made progress.
+    Progress,
+    /// The store no longer lists the target, which was found dead before.
+    Unlisted,
+    /// The suspicion expired.
+    Expiry,
+}
+
 /// A decision about a flow, or a change of a target's standing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -87,6 +105,8 @@
         target: TargetId,
         /// Its new standing.
         standing: Standing,
+        /// The reason for the change.
+        cause: StandingCause,
         /// The unanswered openings counted against it.
         failed_openings: u32,
         /// The stalled flows counted against it.
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -114,18 +114,19 @@
         self.find(target).map_or((0, 0), |record| (record.failed_openings, record.stalled_flows))
     }
 
-    /// Records that the store no longer lists `target`, to which this host sees flows.
-    pub fn on_gone(&mut self, target: TargetId, now_ms: u64) {
+    /// Records that the store no longer lists `target`, to which this host sees flows. Returns
+    /// whether the standing changed.
+    pub fn on_gone(&mut self, target: TargetId, now_ms: u64) -> bool {
         let record = self.record(target, now_ms);
-        if !std::mem::replace(&mut record.is_gone, true) {
-            // No check: another target may answer at the address of a dead one.
-            match record.died_at_ms {
-                Some(_) => {
-                    record.set_standing(Standing::Dead, now_ms);
-                }
-                None => record.is_check_due = true,
-            }
+        if std::mem::replace(&mut record.is_gone, true) {
+            return false;
+        }
+        // No check: another target may answer at the address of a dead one.
+        if record.died_at_ms.is_some() {
+            return record.set_standing(Standing::Dead, now_ms);
         }
+        record.is_check_due = true;
+        false
     }
 
     /// Records which unlisted targets the store lists again.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -28,7 +28,7 @@
     config::Config,
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
-    event::{Event, FlowReport, LatencySample, Reason},
+    event::{Event, FlowReport, LatencySample, Reason, StandingCause},
     health::{DueCheck, Health, Standing, Verdict as CheckVerdict},
     load::{HostLoad, ReportedLoads, TargetLoad},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
