Give the dispatcher of the reference tests its directory

The tests on missing references handed the directory to the packets alone, as no running host does. They still fail on. One expression of the tests on stale verdicts follows the linter.

--- a/crates/tagged/tests/missing_reference.rs
+++ b/crates/tagged/tests/missing_reference.rs
@@ -5,10 +5,15 @@
 
 mod support;
 
-use support::{Host, NEAR, data, opening};
+use support::{Host, NEAR, data, opening, rows};
 use tagged::DueCheck;
 
-const TARGETS: [(u64, u64); 2] = [(1, NEAR), (2, NEAR)];
+/// A host that has just got its first directory, with two targets.
+fn new_host() -> Host {
+    let mut host = Host::new(&[]);
+    host.set_rows(rows(&[(1, NEAR), (2, NEAR)]));
+    host
+}
 
 fn check(name: &str, host: &mut Host) {
     host.now_ms += 60;
@@ -20,15 +25,15 @@
 }
 
 #[test]
-fn new_host() {
-    let mut host = Host::new(&TARGETS);
+fn no_answer_yet() {
+    let mut host = new_host();
     host.send(&opening(0, 0));
     check("no target has answered yet", &mut host);
 }
 
 #[test]
 fn single_flow() {
-    let mut host = Host::new(&TARGETS);
+    let mut host = new_host();
     let (target, tag) = host.open(0, 0);
     host.send(&data(0, tag, 100, 50));
     assert!((100..120).any(|caller| host.open(caller, 0).0 == target));
@@ -37,7 +42,7 @@
 
 #[test]
 fn all_suspect() {
-    let mut host = Host::new(&TARGETS);
+    let mut host = new_host();
     for caller in 0..20 {
         let tag = host.open(caller, 0).1;
         host.send(&data(caller, tag, 100, 50));
--- a/crates/tagged/tests/stale_verdict.rs
+++ b/crates/tagged/tests/stale_verdict.rs
@@ -31,7 +31,8 @@
 
 impl Outage {
     fn is_down(&self, elapsed_ms: u64) -> bool {
-        let is_down_turn = self.turn_ms.is_none_or(|turn_ms| elapsed_ms / turn_ms % 2 == 0);
+        let is_down_turn =
+            self.turn_ms.is_none_or(|turn_ms| (elapsed_ms / turn_ms).is_multiple_of(2));
         elapsed_ms < self.length_ms && is_down_turn
     }
 }
