Reset flows only because of this host's own recent check

What callers saw: open flows were reset (code 604) although their target served.

Cause: a verdict outlived what it rested on. A host that was cut off from a target, or checked one that went down and up, called it dead until its next check, up to 8.1 s after it could reach it again, and repeated that in each load report. Hosts with one unanswered opening or one retransmission since believed such a report without a check, reset their flows and reported the death in turn. An unlisted target was taken for dead because of a report alone.

Change: a target is dead only by a failed check of this host, and for 2.5 s after it; then it is suspect, and flow packets are forwarded and lead to a new check. A report makes a target suspect and a check due. Only the first news of a death is sent at once.

--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -40,6 +40,10 @@
     /// How recently a flow of a target must have made progress for the target to count as
     /// responding. A stalled flow then triggers no check, and reports of its death are ignored.
     pub recent_progress_ms: u64,
+    /// How long after a failed check the flows of its target may be reset because of it. It is
+    /// longer than `initial_recheck_delay_ms`, so that a target that stays dead is not taken for
+    /// alive, and shorter than the time after which a host that was cut off counts as sound again.
+    pub verdict_ttl_ms: u64,
     /// How long after its first failed check a dead target is checked again. The delay doubles with
     /// each further failure.
     pub initial_recheck_delay_ms: u64,
@@ -72,6 +76,7 @@
             check_interval_ms: 1_000,
             initial_full_backoff_ms: 300,
             recent_progress_ms: 300,
+            verdict_ttl_ms: 2_500,
             initial_recheck_delay_ms: 2_000,
             max_recheck_delay_ms: 8_000,
             address_reuse_ms: 1_500,
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -252,7 +252,7 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.record_gone(target.id, now_ms);
+            self.record_gone(target.id);
             let is_dead = self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.remove_flow(segment);
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -21,7 +21,7 @@
             targets_with_flows.filter(|index| !is_listed(*index)).collect();
         for index in gone {
             let target = directory.target(index).id;
-            self.record_gone(target, now_ms);
+            self.record_gone(target);
             if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
                 self.reset_flows(target, Reason::TargetGone);
             }
@@ -45,6 +45,10 @@
         {
             self.record_unanswered(target, now_ms);
         }
+        for target in self.health.expire_verdicts(&self.config, now_ms) {
+            self.has_load_changes = true;
+            self.record_standing(target, StandingCause::Expiry);
+        }
         let own_load = &self.own_load;
         let has_flows = |target| own_load.contains_key(&target);
         self.health.take_due_checks(has_flows, &self.config, now_ms)
@@ -58,7 +62,9 @@
         started_at_ms: u64,
         now_ms: u64,
     ) {
+        let has_died = self.health.has_died(target);
         if self.health.on_check(target, verdict, started_at_ms, &self.config, now_ms) {
+            self.has_new_deaths |= !has_died && self.health.standing(target) == Standing::Dead;
             self.on_standing_change(target, StandingCause::Check);
         }
     }
@@ -91,8 +97,8 @@
     }
 
     /// Records that the store no longer lists `target`, to which this host sees flows.
-    pub(super) fn record_gone(&mut self, target: TargetId, now_ms: u64) {
-        if self.health.on_gone(target, now_ms) {
+    pub(super) fn record_gone(&mut self, target: TargetId) {
+        if self.health.on_gone(target) {
             self.record_standing(target, StandingCause::Unlisted);
         }
     }
@@ -102,7 +108,6 @@
         self.has_load_changes = true;
         self.record_standing(target, cause);
         if self.health.standing(target) == Standing::Dead {
-            self.has_new_deaths = true;
             self.reset_flows(target, Reason::TargetDead);
         }
     }
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -62,7 +62,7 @@
     Progress,
     /// The store no longer lists the target, which was found dead before.
     Unlisted,
-    /// The suspicion expired.
+    /// The verdict of an earlier check or the suspicion expired.
     Expiry,
 }
 
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -10,6 +10,11 @@
 //! running. It stays suspect until one of its flows makes progress, or until the store has been
 //! available again for long enough and still lists it.
 //!
+//! Failure scenario: a host is cut off from targets that serve, or checks a target that goes down
+//! and up again. Its verdict is wrong once it can reach the target, and so are its reports to other
+//! hosts. A verdict therefore expires, and no host resets a flow because of a report: a report only
+//! makes the target suspect and triggers a check.
+//!
 //! Failure scenario: a failure domain is cut off from the store, and its targets are no longer
 //! listed when the connection returns, although they serve. A target that is not listed is checked
 //! like a silent one and keeps its flows as long as it answers.
@@ -33,8 +38,7 @@
     Good,
     /// It gets no new flows, if others can take them, until it answers or the suspicion expires.
     Suspect,
-    /// It failed a check, or another host's report of its death matches evidence of this host's
-    /// own. Its flows are reset.
+    /// It failed a check of this host a short time ago. Its flows are reset.
     Dead,
 }
 
@@ -62,14 +66,14 @@
 struct Record {
     target: TargetId,
     standing: Standing,
-    /// When the standing last changed or, if it is dead, the last recheck began or failed.
-    since_ms: u64,
     /// When the suspicion expires.
     suspect_until_ms: u64,
     progress_at_ms: u64,
     checked_at_ms: u64,
     /// When the target last answered a check.
     answered_at_ms: u64,
+    /// When it last failed a check of this host; none after a sign of life.
+    failed_at_ms: Option<u64>,
     failed_openings: u32,
     stalled_flows: u32,
     is_check_due: bool,
@@ -98,6 +102,11 @@
         self.find(target).map_or(Standing::Good, |record| record.standing)
     }
 
+    /// Whether this host or another found `target` dead and nothing has shown that it is alive.
+    pub fn has_died(&self, target: TargetId) -> bool {
+        self.find(target).is_some_and(|record| record.died_at_ms.is_some())
+    }
+
     /// The targets whose standing is dead.
     pub fn dead(&self) -> impl Iterator<Item = TargetId> {
         let dead = self.records.iter().filter(|record| record.standing == Standing::Dead);
@@ -116,14 +125,14 @@
 
     /// Records that the store no longer lists `target`, to which this host sees flows. Returns
     /// whether the standing changed.
-    pub fn on_gone(&mut self, target: TargetId, now_ms: u64) -> bool {
-        let record = self.record(target, now_ms);
+    pub fn on_gone(&mut self, target: TargetId) -> bool {
+        let record = self.record(target);
         if std::mem::replace(&mut record.is_gone, true) {
             return false;
         }
         // No check: another target may answer at the address of a dead one.
-        if record.died_at_ms.is_some() {
-            return record.set_standing(Standing::Dead, now_ms);
+        if record.failed_at_ms.is_some() {
+            return record.set_standing(Standing::Dead);
         }
         record.is_check_due = true;
         false
@@ -136,6 +145,7 @@
                 record.is_gone = false;
                 // The target has announced itself again.
                 record.died_at_ms = None;
+                record.failed_at_ms = None;
                 record.is_check_due |= record.standing == Standing::Dead;
             }
         }
@@ -143,19 +153,20 @@
 
     /// Records that a flow of `target` made progress. Returns whether the standing changed.
     pub fn on_progress(&mut self, target: TargetId, now_ms: u64) -> bool {
-        let record = self.record(target, now_ms);
+        let record = self.record(target);
         record.progress_at_ms = now_ms;
         record.died_at_ms = None;
+        record.failed_at_ms = None;
         record.full_backoff_ms = 0;
         record.failed_openings = 0;
         record.stalled_flows = 0;
         record.is_check_due = false;
-        record.set_standing(Standing::Good, now_ms)
+        record.set_standing(Standing::Good)
     }
 
     /// Records that `target` did not answer an opening. Returns whether the standing changed.
     pub fn on_failed_opening(&mut self, target: TargetId, config: &Config, now_ms: u64) -> bool {
-        let record = self.record(target, now_ms);
+        let record = self.record(target);
         record.failed_openings += 1;
         record.update_suspicion(config, now_ms)
     }
@@ -163,7 +174,7 @@
     /// Records that a caller retransmitted data on a flow to `target`. Returns whether the standing
     /// changed.
     pub fn on_stalled_flow(&mut self, target: TargetId, config: &Config, now_ms: u64) -> bool {
-        let record = self.record(target, now_ms);
+        let record = self.record(target);
         record.stalled_flows += 1;
         let has_recent_progress = now_ms < record.progress_at_ms + config.recent_progress_ms;
         if !has_recent_progress && !record.has_answered_recently(config, now_ms) {
@@ -175,8 +186,8 @@
     /// Records that a host of the same failure domain reports `target` dead. Returns whether the
     /// standing changed.
     ///
-    /// With evidence of this host's own, the target becomes dead. Without any it becomes suspect
-    /// and is checked if this host sees flows to it.
+    /// The target becomes suspect and is checked if this host sees flows to it, unless this host's
+    /// own observations are more recent.
     pub fn on_reported_dead(
         &mut self,
         target: TargetId,
@@ -184,26 +195,22 @@
         config: &Config,
         now_ms: u64,
     ) -> bool {
-        let record = self.record(target, now_ms);
-        if record.standing == Standing::Dead {
-            return false;
-        }
-        if record.failed_openings + record.stalled_flows > 0 && record.died_at_ms.is_none() {
-            record.died_at_ms = Some(now_ms);
-            return record.set_standing(Standing::Dead, now_ms);
-        }
-        // This host's own observations take precedence over reports.
+        let record = self.record(target);
         let has_recent_progress = now_ms < record.progress_at_ms + config.recent_progress_ms;
         let is_confirmed_alive = record
             .confirmed_alive_at_ms
             .is_some_and(|at_ms| now_ms < at_ms + config.max_recheck_delay_ms);
-        if has_recent_progress || is_confirmed_alive || record.standing != Standing::Good {
+        let has_evidence = record.failed_openings + record.stalled_flows > 0;
+        let is_seen_alive = has_recent_progress
+            || is_confirmed_alive
+            || record.has_answered_recently(config, now_ms);
+        if record.died_at_ms.is_some() || (is_seen_alive && !has_evidence) {
             return false;
         }
         record.died_at_ms = Some(now_ms);
-        record.is_check_due = has_flows;
+        record.is_check_due |= has_flows;
         record.suspect_until_ms = now_ms + config.suspicion_timeout_ms;
-        record.set_standing(Standing::Suspect, now_ms)
+        record.set_standing(Standing::Suspect)
     }
 
     /// Records the outcome of a check that was started at `started_at_ms`. Returns whether the
@@ -216,7 +223,7 @@
         config: &Config,
         now_ms: u64,
     ) -> bool {
-        let record = self.record(target, now_ms);
+        let record = self.record(target);
         match verdict {
             Verdict::Answered => {
                 record.failed_openings = 0;
@@ -224,16 +231,18 @@
                 record.answered_at_ms = now_ms;
                 if record.died_at_ms.is_some_and(|at_ms| now_ms >= at_ms + config.address_reuse_ms)
                 {
-                    return record.set_standing(Standing::Suspect, now_ms);
+                    return record.set_standing(Standing::Suspect);
                 }
                 record.died_at_ms = None;
-                record.set_standing(Standing::Good, now_ms)
+                record.failed_at_ms = None;
+                record.set_standing(Standing::Good)
             }
             Verdict::Unclear => {
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
                 record.died_at_ms = None;
-                record.set_standing(Standing::Good, now_ms)
+                record.failed_at_ms = None;
+                record.set_standing(Standing::Good)
             }
             Verdict::Failed if record.progress_at_ms >= started_at_ms => {
                 record.is_check_due = record.is_gone;
@@ -242,14 +251,14 @@
             Verdict::Failed => {
                 // Frequent rechecks gain little: the entry of a target that is gone for good lapses
                 // soon, and a network partition may last long.
-                let delay_ms = match record.standing {
-                    Standing::Dead => 2 * record.recheck_delay_ms,
-                    _ => config.initial_recheck_delay_ms,
+                let delay_ms = match record.is_unreachable() {
+                    true => 2 * record.recheck_delay_ms,
+                    false => config.initial_recheck_delay_ms,
                 };
                 record.recheck_delay_ms = delay_ms.min(config.max_recheck_delay_ms);
-                record.since_ms = now_ms;
+                record.failed_at_ms = Some(now_ms);
                 record.died_at_ms.get_or_insert(now_ms);
-                record.set_standing(Standing::Dead, now_ms)
+                record.set_standing(Standing::Dead)
             }
         }
     }
@@ -264,12 +273,7 @@
     ) -> Vec<DueCheck> {
         let mut targets = Vec::new();
         for record in &mut self.records {
-            let is_recheck_due = now_ms >= record.since_ms + record.recheck_delay_ms;
-            let is_final = record.is_gone && record.standing == Standing::Dead;
-            if record.standing == Standing::Dead && is_recheck_due && !is_final {
-                record.since_ms = now_ms;
-                record.is_check_due = true;
-            }
+            record.is_check_due |= record.is_recheck_due(now_ms);
             let is_repeat_due = record.is_gone
                 && record.standing != Standing::Dead
                 && now_ms >= record.checked_at_ms + config.check_interval_ms;
@@ -296,6 +300,26 @@
             .map(|record| record.target)
     }
 
+    /// Makes dead targets suspect whose last failed check is too old to reset flows because of it.
+    /// Returns these targets.
+    ///
+    /// A dead target that the store no longer lists stays dead.
+    pub fn expire_verdicts(&mut self, config: &Config, now_ms: u64) -> Vec<TargetId> {
+        let is_expired = |record: &&mut Record| {
+            let is_old =
+                record.failed_at_ms.is_some_and(|at_ms| now_ms >= at_ms + config.verdict_ttl_ms);
+            record.standing == Standing::Dead && !record.is_gone && is_old
+        };
+        self.records
+            .iter_mut()
+            .filter(is_expired)
+            .map(|record| {
+                record.set_standing(Standing::Suspect);
+                record.target
+            })
+            .collect()
+    }
+
     /// Ends expired suspicions and removes the records of targets for which `is_known` is false.
     /// Returns the targets that are good again.
     ///
@@ -311,7 +335,7 @@
         self.records.retain(|record| is_known(record.target));
         let mut cleared = Vec::new();
         for record in &mut self.records {
-            if record.standing != Standing::Suspect {
+            if record.standing != Standing::Suspect || record.is_unreachable() {
                 continue;
             }
             let is_over = match record.died_at_ms {
@@ -320,11 +344,12 @@
             };
             if is_over {
                 if record.died_at_ms.take().is_some() {
+                    record.failed_at_ms = None;
                     record.confirmed_alive_at_ms = Some(now_ms);
                 }
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
-                record.set_standing(Standing::Good, now_ms);
+                record.set_standing(Standing::Good);
                 cleared.push(record.target);
             }
         }
@@ -335,18 +360,18 @@
         self.position(target).ok().map(|position| &self.records[position])
     }
 
-    fn record(&mut self, target: TargetId, now_ms: u64) -> &mut Record {
+    fn record(&mut self, target: TargetId) -> &mut Record {
         let position = match self.position(target) {
             Ok(position) => position,
             Err(position) => {
                 let record = Record {
                     target,
                     standing: Standing::Good,
-                    since_ms: now_ms,
                     suspect_until_ms: 0,
                     progress_at_ms: 0,
                     checked_at_ms: 0,
                     answered_at_ms: 0,
+                    failed_at_ms: None,
                     failed_openings: 0,
                     stalled_flows: 0,
                     is_check_due: false,
@@ -374,6 +399,19 @@
         self.answered_at_ms > 0 && now_ms < self.answered_at_ms + config.check_interval_ms
     }
 
+    /// Whether the target has failed a check and answered none since.
+    fn is_unreachable(&self) -> bool {
+        self.failed_at_ms.is_some_and(|at_ms| self.answered_at_ms < at_ms)
+    }
+
+    /// Whether an unreachable target is to be checked again. A dead target that the store no longer
+    /// lists is not.
+    fn is_recheck_due(&self, now_ms: u64) -> bool {
+        let is_final = self.is_gone && self.standing == Standing::Dead;
+        let checked_at_ms = self.failed_at_ms.unwrap_or(0).max(self.checked_at_ms);
+        self.is_unreachable() && !is_final && now_ms >= checked_at_ms + self.recheck_delay_ms
+    }
+
     /// Makes a good target suspect if the evidence suffices. Returns whether the standing changed.
     fn update_suspicion(&mut self, config: &Config, now_ms: u64) -> bool {
         let is_enough = self.failed_openings >= SUSPECT_FAILED_OPENINGS
@@ -391,15 +429,14 @@
         }
         self.suspect_until_ms =
             now_ms + if is_full { self.full_backoff_ms } else { config.suspicion_timeout_ms };
-        self.set_standing(Standing::Suspect, now_ms)
+        self.set_standing(Standing::Suspect)
     }
 
-    fn set_standing(&mut self, standing: Standing, now_ms: u64) -> bool {
+    fn set_standing(&mut self, standing: Standing) -> bool {
         if self.standing == standing {
             return false;
         }
         self.standing = standing;
-        self.since_ms = now_ms;
         true
     }
 }
