Ignore a failed check that began before the target's last answer

Checks of one target can overlap. One that began while the target could not be reached ended after a later one had been answered, and made the target dead: its flows were reset for up to 2 s.

Test: overtaken_check, which failed on.

--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -244,7 +244,9 @@
                 record.failed_at_ms = None;
                 record.set_standing(Standing::Good)
             }
-            Verdict::Failed if record.progress_at_ms >= started_at_ms => {
+            Verdict::Failed
+                if record.progress_at_ms.max(record.answered_at_ms) >= started_at_ms =>
+            {
                 record.is_check_due = record.is_gone;
                 false
             }
