Check a target always beside a second one

A check compares with a target that answered lately, so that a fault of the host's own link is not taken for a death. A new host, a host with flows to one target only, and one all of whose targets were suspect had no such target; their checks decided alone, and flows to sound targets were reset. They now draw any other listed target, good and near ones first.

--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -55,6 +55,8 @@
     reported: ReportedLoads,
     /// The load of the targets by the flows of this host.
     own_load: HashMap<TargetId, OwnLoad>,
+    /// The targets of the directory in force that are not gone, sorted by id.
+    listed: Vec<ListedTarget>,
     warmups: HashMap<TargetId, Warmup>,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
@@ -74,6 +76,13 @@
     rng: StdRng,
 }
 
+/// A target that the store lists.
+#[derive(Debug, Clone, Copy)]
+struct ListedTarget {
+    id: TargetId,
+    domain_seed: u64,
+}
+
 /// The period after its start during which a target is slow.
 #[derive(Debug, Clone, Copy)]
 struct Warmup {
@@ -92,6 +101,7 @@
             health: Health::default(),
             reported: ReportedLoads::default(),
             own_load: HashMap::new(),
+            listed: Vec::new(),
             warmups: HashMap::new(),
             opening_rates: Vec::new(),
             counters: Counters::default(),
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -1,8 +1,9 @@
 //! Handles targets that die, leave, start or are no longer listed.
 
 use catalog::{Directory, Presence, TargetId, TargetIndex};
+use rand::seq::IndexedRandom;
 
-use super::Warmup;
+use super::{ListedTarget, Warmup};
 use crate::{
     CheckVerdict, Counter, Dispatcher, DueCheck, Event, HostLoad, Reason, Segment, SegmentKind,
     Standing, StandingCause,
@@ -27,8 +28,12 @@
             }
         }
         self.warmups.retain(|target, _| directory.find_target(*target).is_some());
+        self.listed.clear();
         for position in 0..directory.target_count() {
             let target = directory.target(TargetIndex(position));
+            if is_listed(TargetIndex(position)) {
+                self.listed.push(ListedTarget { id: target.id, domain_seed: target.domain_seed });
+            }
             if target.warmup_ms > 0 {
                 let total_ms = target.warmup_ms;
                 let ends_at_ms = now_ms + u64::from(total_ms);
@@ -51,7 +56,29 @@
         }
         let own_load = &self.own_load;
         let has_flows = |target| own_load.contains_key(&target);
-        self.health.take_due_checks(has_flows, &self.config, now_ms)
+        let due = self.health.take_due_checks(has_flows, &self.config, now_ms);
+        due.into_iter()
+            .map(|target| DueCheck { target, reference: self.choose_reference(target) })
+            .collect()
+    }
+
+    /// Chooses the reference target for a check of `target`.
+    ///
+    /// Without a target that answered recently, it is drawn at random: a fixed one might be dead
+    /// too, and then no check would decide anything.
+    fn choose_reference(&mut self, target: TargetId) -> Option<TargetId> {
+        if let Some(reference) = self.health.find_reference(target) {
+            return Some(reference);
+        }
+        let rank = |listed: &ListedTarget| {
+            let is_far = listed.domain_seed != self.config.domain_seed;
+            (self.health.standing(listed.id) as u8, is_far)
+        };
+        let others = || self.listed.iter().filter(|listed| listed.id != target);
+        let best = others().map(rank).min()?;
+        let candidates: Vec<TargetId> =
+            others().filter(|listed| rank(listed) == best).map(|listed| listed.id).collect();
+        candidates.choose(&mut self.rng).copied()
     }
 
     /// Applies the outcome of a check that was started at `started_at_ms`.
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -58,7 +58,8 @@
 pub struct DueCheck {
     /// The target to check.
     pub target: TargetId,
-    /// A target that answered recently, checked at the same time to detect faults of this host.
+    /// Another target, checked at the same time to detect faults of this host: one that answered
+    /// recently or, if there is none, any that is not known to be dead.
     pub reference: Option<TargetId>,
 }
 
@@ -265,14 +266,14 @@
         }
     }
 
-    /// Returns the checks that are due now. `has_flows` tells whether this host sees flows to a
-    /// target; unlisted targets are rechecked only if it does.
+    /// Returns the targets whose checks are due now. `has_flows` tells whether this host sees flows
+    /// to a target; unlisted targets are rechecked only if it does.
     pub fn take_due_checks(
         &mut self,
         has_flows: impl Fn(TargetId) -> bool,
         config: &Config,
         now_ms: u64,
-    ) -> Vec<DueCheck> {
+    ) -> Vec<TargetId> {
         let mut targets = Vec::new();
         for record in &mut self.records {
             record.is_check_due |= record.is_recheck_due(now_ms);
@@ -287,13 +288,10 @@
             }
         }
         targets
-            .into_iter()
-            .map(|target| DueCheck { target, reference: self.find_reference(target) })
-            .collect()
     }
 
     /// The good target, other than `target`, whose flows made progress most recently.
-    fn find_reference(&self, target: TargetId) -> Option<TargetId> {
+    pub fn find_reference(&self, target: TargetId) -> Option<TargetId> {
         self.records
             .iter()
             .filter(|record| record.target != target && record.standing == Standing::Good)
