Forget the health of a target that has started again

A target that died and started again under its id kept the verdict on its earlier start: for up to 7.5 s after the new start its new flows were reset by hosts that had checked the earlier one.

A change of the start time in the directory now removes the health record.

--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -55,8 +55,8 @@
     reported: ReportedLoads,
     /// The load of the targets by the flows of this host.
     own_load: HashMap<TargetId, OwnLoad>,
-    /// The targets of the directory in force that are not gone, sorted by id.
-    listed: Vec<ListedTarget>,
+    /// The targets of the directory in force, sorted by id.
+    known: Vec<KnownTarget>,
     warmups: HashMap<TargetId, Warmup>,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
@@ -76,11 +76,13 @@
     rng: StdRng,
 }
 
-/// A target that the store lists.
+/// A target of the directory in force.
 #[derive(Debug, Clone, Copy)]
-struct ListedTarget {
+struct KnownTarget {
     id: TargetId,
     domain_seed: u64,
+    started_at_ms: u64,
+    is_gone: bool,
 }
 
 /// The period after its start during which a target is slow.
@@ -101,7 +103,7 @@
             health: Health::default(),
             reported: ReportedLoads::default(),
             own_load: HashMap::new(),
-            listed: Vec::new(),
+            known: Vec::new(),
             warmups: HashMap::new(),
             opening_rates: Vec::new(),
             counters: Counters::default(),
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -3,7 +3,7 @@
 use catalog::{Directory, Presence, TargetId, TargetIndex};
 use rand::seq::IndexedRandom;
 
-use super::{ListedTarget, Warmup};
+use super::{KnownTarget, Warmup};
 use crate::{
     CheckVerdict, Counter, Dispatcher, DueCheck, Event, HostLoad, Reason, Segment, SegmentKind,
     Standing, StandingCause,
@@ -14,6 +14,7 @@
     /// to replaced or dead ones are reset, and the warm-ups of new targets begin.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
         self.revision = directory.revision;
+        self.update_known(directory);
         let is_listed = |index| directory.presence(index) != Presence::Gone;
         self.health.on_listed(|target| directory.find_target(target).is_some_and(is_listed));
         let targets_with_flows =
@@ -28,12 +29,8 @@
             }
         }
         self.warmups.retain(|target, _| directory.find_target(*target).is_some());
-        self.listed.clear();
         for position in 0..directory.target_count() {
             let target = directory.target(TargetIndex(position));
-            if is_listed(TargetIndex(position)) {
-                self.listed.push(ListedTarget { id: target.id, domain_seed: target.domain_seed });
-            }
             if target.warmup_ms > 0 {
                 let total_ms = target.warmup_ms;
                 let ends_at_ms = now_ms + u64::from(total_ms);
@@ -42,6 +39,26 @@
         }
     }
 
+    /// Notes the targets of `directory`, and forgets the health of those that have started again.
+    fn update_known(&mut self, directory: &Directory) {
+        let known = (0..directory.target_count()).map(TargetIndex).map(|index| {
+            let target = directory.target(index);
+            KnownTarget {
+                id: target.id,
+                domain_seed: target.domain_seed,
+                started_at_ms: target.started_at_ms,
+                is_gone: directory.presence(index) == Presence::Gone,
+            }
+        });
+        let previous = std::mem::replace(&mut self.known, known.collect());
+        for earlier in previous {
+            let found = self.known.binary_search_by_key(&earlier.id, |target| target.id);
+            if found.is_ok_and(|index| self.known[index].started_at_ms != earlier.started_at_ms) {
+                self.health.forget(earlier.id);
+            }
+        }
+    }
+
     /// Returns the health checks that are due now. `drained_at_ms` is when the socket was last
     /// empty: all packets that came before have been handled, so only openings that were unanswered
     /// at that time count.
@@ -70,14 +87,14 @@
         if let Some(reference) = self.health.find_reference(target) {
             return Some(reference);
         }
-        let rank = |listed: &ListedTarget| {
-            let is_far = listed.domain_seed != self.config.domain_seed;
-            (self.health.standing(listed.id) as u8, is_far)
+        let rank = |other: &KnownTarget| {
+            let is_far = other.domain_seed != self.config.domain_seed;
+            (self.health.standing(other.id) as u8, is_far)
         };
-        let others = || self.listed.iter().filter(|listed| listed.id != target);
+        let others = || self.known.iter().filter(|other| other.id != target && !other.is_gone);
         let best = others().map(rank).min()?;
         let candidates: Vec<TargetId> =
-            others().filter(|listed| rank(listed) == best).map(|listed| listed.id).collect();
+            others().filter(|other| rank(other) == best).map(|other| other.id).collect();
         candidates.choose(&mut self.rng).copied()
     }
 
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -139,6 +139,13 @@
         false
     }
 
+    /// Forgets all about `target`, which has started again.
+    pub fn forget(&mut self, target: TargetId) {
+        if let Ok(position) = self.position(target) {
+            self.records.remove(position);
+        }
+    }
+
     /// Records which unlisted targets the store lists again.
     pub fn on_listed(&mut self, is_listed: impl Fn(TargetId) -> bool) {
         for record in self.records.iter_mut().filter(|record| record.is_gone) {
