Do not reset flows to a listener that is not known yet

A listener is added, a caller opens a flow through a host that knows it, and the routers move the flow to a host whose view is older.

It now drops the packets until its view is 1 s newer than the first of them, as with unknown tags. Flows that it remembers are reset at once: their listener was removed.

--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -27,8 +27,8 @@
     /// often.
     pub far_report_ttl_ms: u64,
     /// How much newer than a flow's first packet a view must be for the flow to be reset because
-    /// its tag is unknown.
-    pub unknown_tag_timeout_ms: u64,
+    /// its tag or its listener is unknown.
+    pub unknown_flow_timeout_ms: u64,
     /// How long a target stays suspect if no check decides.
     pub suspicion_timeout_ms: u64,
     /// How long stalled flows and failed openings trigger no new check after the target answered
@@ -71,7 +71,7 @@
             max_flows: 65_536,
             report_ttl_ms: 5_000,
             far_report_ttl_ms: 10_000,
-            unknown_tag_timeout_ms: 1_000,
+            unknown_flow_timeout_ms: 1_000,
             suspicion_timeout_ms: 2_000,
             check_interval_ms: 1_000,
             initial_full_backoff_ms: 300,
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -18,7 +18,7 @@
     ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
     flows::{Flow, FlowSignal, FlowTable},
     openings::OpeningTable,
-    unknown_tags::UnknownTagTable,
+    unknown_flows::UnknownFlowTable,
 };
 
 /// The number of retransmissions of the same data at which a flow counts as stalled. Callers
@@ -49,7 +49,7 @@
     config: Config,
     flows: FlowTable,
     openings: OpeningTable,
-    unknown_tags: UnknownTagTable,
+    unknown_flows: UnknownFlowTable,
     health: Health,
     /// The load of the targets as other hosts report it.
     reported: ReportedLoads,
@@ -99,7 +99,7 @@
             config,
             flows: FlowTable::default(),
             openings: OpeningTable::default(),
-            unknown_tags: UnknownTagTable::default(),
+            unknown_flows: UnknownFlowTable::default(),
             health: Health::default(),
             reported: ReportedLoads::default(),
             own_load: HashMap::new(),
@@ -187,7 +187,7 @@
         self.has_load_changes |= has_expired;
         self.count_overdue(view, now_ms);
         self.openings.sweep(self.config.opening_retention_ms, now_ms);
-        self.unknown_tags.sweep(2 * self.config.unknown_tag_timeout_ms, now_ms);
+        self.unknown_flows.sweep(2 * self.config.unknown_flow_timeout_ms, now_ms);
         self.reported.expire(&self.config, now_ms);
         let directory = view.directory;
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
@@ -258,7 +258,7 @@
     fn on_flow_packet(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
         let Some(index) = view.directory.find_target_by_tag(tag) else {
-            return self.on_unknown_tag(view, segment, now_ms);
+            return self.refuse_unknown(view, segment, Reason::UnknownTag, now_ms);
         };
         let target = view.directory.target(index);
         let presence = view.directory.presence(index);
@@ -272,8 +272,12 @@
             }
         }
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            self.remove_flow(segment);
-            return self.refuse(view, Reason::NoListener);
+            // The listener of a remembered flow was known before, so it was removed. The record is
+            // kept until it expires, in case the reset is lost.
+            return match self.flows.get(&segment.key) {
+                Some(_) => self.refuse(view, Reason::NoListener),
+                None => self.refuse_unknown(view, segment, Reason::NoListener, now_ms),
+            };
         };
         self.update_flow(segment, listener, target.id, now_ms);
         if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
@@ -286,15 +290,22 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
-    /// Resets the flow if the view is current enough to prove that the target is gone. The target
-    /// may be too new for an older view to contain it, so the packet is dropped in that case.
-    fn on_unknown_tag(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
-        let first_seen_ms = self.unknown_tags.first_seen_ms(segment.key, now_ms);
+    /// Resets the flow if the view is current enough to prove that the flow's target or listener is
+    /// gone. It may be too new for an older view to contain it, so the packet is dropped in that
+    /// case.
+    fn refuse_unknown(
+        &mut self,
+        view: View<'_>,
+        segment: &Segment,
+        reason: Reason,
+        now_ms: u64,
+    ) -> Verdict {
+        let first_seen_ms = self.unknown_flows.first_seen_ms(segment.key, now_ms);
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
-        if confirmed_at_ms >= first_seen_ms + self.config.unknown_tag_timeout_ms {
-            return Verdict::Reset(Reason::UnknownTag);
+        if confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms {
+            return Verdict::Reset(reason);
         }
-        Verdict::Drop(Reason::UnknownTag)
+        Verdict::Drop(reason)
     }
 
     /// Resets the flow if the view is recent enough for that; drops the packet otherwise.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -21,7 +21,7 @@
 mod load;
 mod openings;
 mod segment;
-mod unknown_tags;
+mod unknown_flows;
 
 pub use crate::{
     choice::{Candidate, ChoiceParams, Penalty, choose_target},
--- a/crates/tagged/src/unknown_tags.rs
+++ b/crates/tagged/src/unknown_flows.rs
@@ -1,4 +1,4 @@
-//! Flows whose tag names no known target.
+//! Flows whose tag names no known target or whose listener is unknown.
 
 use hashbrown::HashMap;
 
@@ -9,11 +9,11 @@
 
 /// When packets of such flows were first seen.
 #[derive(Debug, Default)]
-pub(crate) struct UnknownTagTable {
+pub(crate) struct UnknownFlowTable {
     first_seen: HashMap<FlowKey, u64>,
 }
 
-impl UnknownTagTable {
+impl UnknownFlowTable {
     /// Records a packet of `key` and returns when its first packet was seen.
     pub(crate) fn first_seen_ms(&mut self, key: FlowKey, now_ms: u64) -> u64 {
         if self.first_seen.len() >= MAX_FLOWS && !self.first_seen.contains_key(&key) {
