--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -82,13 +82,20 @@
     }
 
     /// Marks a target as gone if another was started later at its address: its entry has not
-    /// lapsed yet.
+    /// lapsed yet. Entries of services that the settings do not name are not from a target.
     fn mark_replaced(&mut self) {
+        let shares = self.listeners.iter().flat_map(|listener| &listener.shares);
+        let mut named: Vec<u64> = self.services.iter().map(|service| service.seed).collect();
+        named.extend(shares.map(|share| share.service_seed));
+        named.sort_unstable();
+        named.dedup();
         let mut by_address: Vec<(SocketAddrV4, u64, usize)> = self
             .targets
             .iter()
             .enumerate()
-            .filter(|(_, (_, presence))| *presence != Presence::Gone)
+            .filter(|(_, (target, presence))| {
+                *presence != Presence::Gone && named.binary_search(&target.service_seed).is_ok()
+            })
             .map(|(position, (target, _))| (target.address, target.started_at_ms, position))
             .collect();
         by_address.sort_unstable();
