Keep late copies of an opening at the flow's own target

A copy of an opening that a host handled after the flow's first packet was placed anew: a second target took it for a new flow, and one that does not hold it, or no longer listens, resets it towards the caller. A copy that could not be placed was refused although an earlier one might have been answered, so that the refusal might be untrue.

A copy of a flow that this host has seen established goes to the flow's target. Only the first copy of an opening is refused.

--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -206,8 +206,11 @@
 
     fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            return self.refuse(view, Reason::NoListener);
+            return self.refuse_opening(view, Reason::NoListener, copy);
         };
+        if let Some(verdict) = self.forward_late_copy(view, segment, now_ms) {
+            return verdict;
+        }
         let earlier = self.openings.get(&segment.key);
         let mut tried: Vec<TargetId> = Vec::new();
         if let Some(opening) = earlier {
@@ -229,7 +232,7 @@
         }
         let Some(index) = self.place_flow(view, listener, &tried, now_ms) else {
             return match view.directory.has_targets(listener) {
-                true => self.refuse(view, Reason::NoTarget),
+                true => self.refuse_opening(view, Reason::NoTarget, copy),
                 // Announcements that lapsed in an outage of the store return, so the caller's next
                 // copy of the opening may find a target.
                 false => Verdict::Drop(Reason::NoTarget),
@@ -255,6 +258,14 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
+    /// Forwards a copy of an opening to the target at which its flow is established by now. Another
+    /// target would take it for a new flow.
+    fn forward_late_copy(&self, view: View<'_>, segment: &Segment, now_ms: u64) -> Option<Verdict> {
+        let flow = self.flows.get(&segment.key).filter(|flow| !flow.is_opening)?;
+        let is_recent = now_ms < flow.added_at_ms + self.config.opening_retention_ms;
+        is_recent.then(|| forward_to(view, flow.target)).flatten()
+    }
+
     fn on_flow_packet(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
         let Some(index) = view.directory.find_target_by_tag(tag) else {
@@ -308,6 +319,15 @@
         Verdict::Drop(reason)
     }
 
+    /// Refuses an opening. Another host may have forwarded an earlier copy, so that the flow may be
+    /// established; only the first copy can be refused truthfully.
+    fn refuse_opening(&self, view: View<'_>, reason: Reason, copy: u32) -> Verdict {
+        if copy > 0 {
+            return Verdict::Drop(reason);
+        }
+        self.refuse(view, reason)
+    }
+
     /// Resets the flow if the view is recent enough for that; drops the packet otherwise.
     fn refuse(&self, view: View<'_>, reason: Reason) -> Verdict {
         if view.age_ms <= self.config.max_view_age_ms {
--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -11,11 +11,13 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Flow {
     pub(crate) target: TargetId,
+    /// When this host saw its first packet.
+    pub(crate) added_at_ms: u64,
     pub(crate) last_packet_ms: u64,
     last_sequence: u32,
     last_acknowledged: u32,
     /// Whether only its opening was seen, which acknowledges nothing from the target yet.
-    is_opening: bool,
+    pub(crate) is_opening: bool,
     /// How many times the caller retransmitted its last data without an answer.
     pub(crate) repeats: u8,
     /// Whether a request is in flight: data was sent and no answer acknowledged since.
@@ -77,6 +79,7 @@
     pub(crate) fn add(&mut self, segment: &Segment, target: TargetId, now_ms: u64) {
         let flow = Flow {
             target,
+            added_at_ms: now_ms,
             last_packet_ms: now_ms,
             last_sequence: segment.sequence,
             last_acknowledged: segment.acknowledged,
