Count the age of a verdict from the start of its check

The time at which a verdict was applied counted as the time of the failure. If the process stood still between the check and its verdict, an old verdict reset the flows of a target that had been reachable since.

Test: delayed_verdict in overtaken_check, which failed before.

--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -40,7 +40,7 @@
     /// How recently a flow of a target must have made progress for the target to count as
     /// responding. A stalled flow then triggers no check, and reports of its death are ignored.
     pub recent_progress_ms: u64,
-    /// How long after a failed check the flows of its target may be reset because of it. It is
+    /// How long after its start a failed check is a reason to reset flows of its target. It is
     /// longer than `initial_recheck_delay_ms`, so that a target that stays dead is not taken for
     /// alive, and shorter than the time after which a host that was cut off counts as sound again.
     pub verdict_ttl_ms: u64,
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -73,7 +73,7 @@
     checked_at_ms: u64,
     /// When the target last answered a check.
     answered_at_ms: u64,
-    /// When it last failed a check of this host; none after a sign of life.
+    /// When the last check of this host began that the target failed; none after a sign of life.
     failed_at_ms: Option<u64>,
     failed_openings: u32,
     stalled_flows: u32,
@@ -258,6 +258,10 @@
                 record.is_check_due = record.is_gone;
                 false
             }
+            Verdict::Failed if now_ms >= started_at_ms + config.verdict_ttl_ms => {
+                record.is_check_due = true;
+                false
+            }
             Verdict::Failed => {
                 // Frequent rechecks gain little: the entry of a target that is gone for good lapses
                 // soon, and a network partition may last long.
@@ -266,7 +270,7 @@
                     false => config.initial_recheck_delay_ms,
                 };
                 record.recheck_delay_ms = delay_ms.min(config.max_recheck_delay_ms);
-                record.failed_at_ms = Some(now_ms);
+                record.failed_at_ms = Some(started_at_ms);
                 record.died_at_ms.get_or_insert(now_ms);
                 record.set_standing(Standing::Dead)
             }
--- a/crates/tagged/tests/overtaken_check.rs
+++ b/crates/tagged/tests/overtaken_check.rs
@@ -1,4 +1,4 @@
-//! Checks that end after a later one has been answered.
+//! Checks that are out of date when their verdict is applied.
 
 mod support;
 
@@ -23,3 +23,16 @@
     let verdict = host.send(&data(0, tag, 200, 50));
     assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
 }
+
+#[test]
+fn delayed_verdict() {
+    let mut host = Host::new(&[(1, NEAR)]);
+    let tag = host.open(0, 0).1;
+    host.send(&data(0, tag, 100, 50));
+    // The process is paused between the end of the check and its verdict.
+    let started_ms = host.now_ms + 400;
+    host.now_ms = started_ms + 3_000;
+    host.dispatcher.on_check(TARGET, CheckVerdict::Failed, started_ms, host.now_ms);
+    assert!(host.dispatcher.take_resets().is_empty(), "the check is 3 s old");
+    assert_eq!(host.due_checks(), [TARGET]);
+}
