--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -27,8 +27,8 @@
     /// often.
     pub far_report_ttl_ms: u64,
     /// How much newer than a flow's first packet a view must be for the flow to be reset because
-    /// its tag is unknown.
-    pub unknown_tag_timeout_ms: u64,
+    /// its tag or its listener is unknown.
+    pub unknown_flow_timeout_ms: u64,
     /// How long a target stays suspect if no check decides.
     pub suspicion_timeout_ms: u64,
     /// How long stalled flows and failed openings trigger no new check after the target answered
@@ -40,6 +40,10 @@
     /// How recently a flow of a target must have made progress for the target to count as
     /// responding. A stalled flow then triggers no check, and reports of its death are ignored.
     pub recent_progress_ms: u64,
+    /// How long after its start a failed check is a reason to reset flows of its target. It is
+    /// longer than `initial_recheck_delay_ms`, so that a target that stays dead is not taken for
+    /// alive, and shorter than the time after which a host that was cut off counts as sound again.
+    pub verdict_ttl_ms: u64,
     /// How long after its first failed check a dead target is checked again. The delay doubles with
     /// each further failure.
     pub initial_recheck_delay_ms: u64,
@@ -67,11 +71,12 @@
             max_flows: 65_536,
             report_ttl_ms: 5_000,
             far_report_ttl_ms: 10_000,
-            unknown_tag_timeout_ms: 1_000,
+            unknown_flow_timeout_ms: 1_000,
             suspicion_timeout_ms: 2_000,
             check_interval_ms: 1_000,
             initial_full_backoff_ms: 300,
             recent_progress_ms: 300,
+            verdict_ttl_ms: 2_500,
             initial_recheck_delay_ms: 2_000,
             max_recheck_delay_ms: 8_000,
             address_reuse_ms: 1_500,
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -18,7 +18,7 @@
     ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
     flows::{Flow, FlowSignal, FlowTable},
     openings::OpeningTable,
-    unknown_tags::UnknownTagTable,
+    unknown_flows::UnknownFlowTable,
 };
 
 /// The number of retransmissions of the same data at which a flow counts as stalled. Callers
@@ -49,12 +49,14 @@
     config: Config,
     flows: FlowTable,
     openings: OpeningTable,
-    unknown_tags: UnknownTagTable,
+    unknown_flows: UnknownFlowTable,
     health: Health,
     /// The load of the targets as other hosts report it.
     reported: ReportedLoads,
     /// The load of the targets by the flows of this host.
     own_load: HashMap<TargetId, OwnLoad>,
+    /// The targets of the directory in force, sorted by id.
+    known: Vec<KnownTarget>,
     warmups: HashMap<TargetId, Warmup>,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
@@ -74,6 +76,15 @@
     rng: StdRng,
 }
 
+/// A target of the directory in force.
+#[derive(Debug, Clone, Copy)]
+struct KnownTarget {
+    id: TargetId,
+    domain_seed: u64,
+    started_at_ms: u64,
+    is_gone: bool,
+}
+
 /// The period after its start during which a target is slow.
 #[derive(Debug, Clone, Copy)]
 struct Warmup {
@@ -88,10 +99,11 @@
             config,
             flows: FlowTable::default(),
             openings: OpeningTable::default(),
-            unknown_tags: UnknownTagTable::default(),
+            unknown_flows: UnknownFlowTable::default(),
             health: Health::default(),
             reported: ReportedLoads::default(),
             own_load: HashMap::new(),
+            known: Vec::new(),
             warmups: HashMap::new(),
             opening_rates: Vec::new(),
             counters: Counters::default(),
@@ -175,7 +187,7 @@
         self.has_load_changes |= has_expired;
         self.count_overdue(view, now_ms);
         self.openings.sweep(self.config.opening_retention_ms, now_ms);
-        self.unknown_tags.sweep(2 * self.config.unknown_tag_timeout_ms, now_ms);
+        self.unknown_flows.sweep(2 * self.config.unknown_flow_timeout_ms, now_ms);
         self.reported.expire(&self.config, now_ms);
         let directory = view.directory;
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
@@ -194,8 +206,11 @@
 
     fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            return self.refuse(view, Reason::NoListener);
+            return self.refuse_opening(view, Reason::NoListener, copy);
         };
+        if let Some(verdict) = self.forward_late_copy(view, segment, now_ms) {
+            return verdict;
+        }
         let earlier = self.openings.get(&segment.key);
         let mut tried: Vec<TargetId> = Vec::new();
         if let Some(opening) = earlier {
@@ -217,7 +232,7 @@
         }
         let Some(index) = self.place_flow(view, listener, &tried, now_ms) else {
             return match view.directory.has_targets(listener) {
-                true => self.refuse(view, Reason::NoTarget),
+                true => self.refuse_opening(view, Reason::NoTarget, copy),
                 // Announcements that lapsed in an outage of the store return, so the caller's next
                 // copy of the opening may find a target.
                 false => Verdict::Drop(Reason::NoTarget),
@@ -243,16 +258,24 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
+    /// Forwards a copy of an opening to the target at which its flow is established by now. Another
+    /// target would take it for a new flow.
+    fn forward_late_copy(&self, view: View<'_>, segment: &Segment, now_ms: u64) -> Option<Verdict> {
+        let flow = self.flows.get(&segment.key).filter(|flow| !flow.is_opening)?;
+        let is_recent = now_ms < flow.added_at_ms + self.config.opening_retention_ms;
+        is_recent.then(|| forward_to(view, flow.target)).flatten()
+    }
+
     fn on_flow_packet(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
         let Some(index) = view.directory.find_target_by_tag(tag) else {
-            return self.on_unknown_tag(view, segment, now_ms);
+            return self.refuse_unknown(view, segment, Reason::UnknownTag, now_ms);
         };
         let target = view.directory.target(index);
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.record_gone(target.id, now_ms);
+            self.record_gone(target.id);
             let is_dead = self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.remove_flow(segment);
@@ -260,8 +283,12 @@
             }
         }
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            self.remove_flow(segment);
-            return self.refuse(view, Reason::NoListener);
+            // The listener of a remembered flow was known before, so it was removed. The record is
+            // kept until it expires, in case the reset is lost.
+            return match self.flows.get(&segment.key) {
+                Some(_) => self.refuse(view, Reason::NoListener),
+                None => self.refuse_unknown(view, segment, Reason::NoListener, now_ms),
+            };
         };
         self.update_flow(segment, listener, target.id, now_ms);
         if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
@@ -274,15 +301,31 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
-    /// Resets the flow if the view is current enough to prove that the target is gone. The target
-    /// may be too new for an older view to contain it, so the packet is dropped in that case.
-    fn on_unknown_tag(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
-        let first_seen_ms = self.unknown_tags.first_seen_ms(segment.key, now_ms);
+    /// Resets the flow if the view is current enough to prove that the flow's target or listener is
+    /// gone. It may be too new for an older view to contain it, so the packet is dropped in that
+    /// case.
+    fn refuse_unknown(
+        &mut self,
+        view: View<'_>,
+        segment: &Segment,
+        reason: Reason,
+        now_ms: u64,
+    ) -> Verdict {
+        let first_seen_ms = self.unknown_flows.first_seen_ms(segment.key, now_ms);
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
-        if confirmed_at_ms >= first_seen_ms + self.config.unknown_tag_timeout_ms {
-            return Verdict::Reset(Reason::UnknownTag);
+        if confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms {
+            return Verdict::Reset(reason);
+        }
+        Verdict::Drop(reason)
+    }
+
+    /// Refuses an opening. Another host may have forwarded an earlier copy, so that the flow may be
+    /// established; only the first copy can be refused truthfully.
+    fn refuse_opening(&self, view: View<'_>, reason: Reason, copy: u32) -> Verdict {
+        if copy > 0 {
+            return Verdict::Drop(reason);
         }
-        Verdict::Drop(Reason::UnknownTag)
+        self.refuse(view, reason)
     }
 
     /// Resets the flow if the view is recent enough for that; drops the packet otherwise.
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -1,8 +1,9 @@
 //! Handles targets that die, leave, start or are no longer listed.
 
 use catalog::{Directory, Presence, TargetId, TargetIndex};
+use rand::seq::IndexedRandom;
 
-use super::Warmup;
+use super::{KnownTarget, Warmup};
 use crate::{
     CheckVerdict, Counter, Dispatcher, DueCheck, Event, HostLoad, Reason, Segment, SegmentKind,
     Standing, StandingCause,
@@ -13,6 +14,7 @@
     /// to replaced or dead ones are reset, and the warm-ups of new targets begin.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
         self.revision = directory.revision;
+        self.update_known(directory);
         let is_listed = |index| directory.presence(index) != Presence::Gone;
         self.health.on_listed(|target| directory.find_target(target).is_some_and(is_listed));
         let targets_with_flows =
@@ -21,7 +23,7 @@
             targets_with_flows.filter(|index| !is_listed(*index)).collect();
         for index in gone {
             let target = directory.target(index).id;
-            self.record_gone(target, now_ms);
+            self.record_gone(target);
             if directory.is_replaced(index) || self.health.standing(target) == Standing::Dead {
                 self.reset_flows(target, Reason::TargetGone);
             }
@@ -37,6 +39,26 @@
         }
     }
 
+    /// Notes the targets of `directory`, and forgets the health of those that have started again.
+    fn update_known(&mut self, directory: &Directory) {
+        let known = (0..directory.target_count()).map(TargetIndex).map(|index| {
+            let target = directory.target(index);
+            KnownTarget {
+                id: target.id,
+                domain_seed: target.domain_seed,
+                started_at_ms: target.started_at_ms,
+                is_gone: directory.presence(index) == Presence::Gone,
+            }
+        });
+        let previous = std::mem::replace(&mut self.known, known.collect());
+        for earlier in previous {
+            let found = self.known.binary_search_by_key(&earlier.id, |target| target.id);
+            if found.is_ok_and(|index| self.known[index].started_at_ms != earlier.started_at_ms) {
+                self.health.forget(earlier.id);
+            }
+        }
+    }
+
     /// Returns the health checks that are due now. `drained_at_ms` is when the socket was last
     /// empty: all packets that came before have been handled, so only openings that were unanswered
     /// at that time count.
@@ -45,9 +67,35 @@
         {
             self.record_unanswered(target, now_ms);
         }
+        for target in self.health.expire_verdicts(&self.config, now_ms) {
+            self.has_load_changes = true;
+            self.record_standing(target, StandingCause::Expiry);
+        }
         let own_load = &self.own_load;
         let has_flows = |target| own_load.contains_key(&target);
-        self.health.take_due_checks(has_flows, &self.config, now_ms)
+        let due = self.health.take_due_checks(has_flows, &self.config, now_ms);
+        due.into_iter()
+            .map(|target| DueCheck { target, reference: self.choose_reference(target) })
+            .collect()
+    }
+
+    /// Chooses the reference target for a check of `target`.
+    ///
+    /// Without a target that answered recently, it is drawn at random: a fixed one might be dead
+    /// too, and then no check would decide anything.
+    fn choose_reference(&mut self, target: TargetId) -> Option<TargetId> {
+        if let Some(reference) = self.health.find_reference(target) {
+            return Some(reference);
+        }
+        let rank = |other: &KnownTarget| {
+            let is_far = other.domain_seed != self.config.domain_seed;
+            (self.health.standing(other.id) as u8, is_far)
+        };
+        let others = || self.known.iter().filter(|other| other.id != target && !other.is_gone);
+        let best = others().map(rank).min()?;
+        let candidates: Vec<TargetId> =
+            others().filter(|other| rank(other) == best).map(|other| other.id).collect();
+        candidates.choose(&mut self.rng).copied()
     }
 
     /// Applies the outcome of a check that was started at `started_at_ms`.
@@ -58,7 +106,9 @@
         started_at_ms: u64,
         now_ms: u64,
     ) {
+        let has_died = self.health.has_died(target);
         if self.health.on_check(target, verdict, started_at_ms, &self.config, now_ms) {
+            self.has_new_deaths |= !has_died && self.health.standing(target) == Standing::Dead;
             self.on_standing_change(target, StandingCause::Check);
         }
     }
@@ -91,8 +141,8 @@
     }
 
     /// Records that the store no longer lists `target`, to which this host sees flows.
-    pub(super) fn record_gone(&mut self, target: TargetId, now_ms: u64) {
-        if self.health.on_gone(target, now_ms) {
+    pub(super) fn record_gone(&mut self, target: TargetId) {
+        if self.health.on_gone(target) {
             self.record_standing(target, StandingCause::Unlisted);
         }
     }
@@ -102,7 +152,6 @@
         self.has_load_changes = true;
         self.record_standing(target, cause);
         if self.health.standing(target) == Standing::Dead {
-            self.has_new_deaths = true;
             self.reset_flows(target, Reason::TargetDead);
         }
     }
