Let a host that took over from a stale view go on reading

Cause: for 4 s after its start a host returned to listening after each read, even when its view had been stale and it knew peers. So after an outage in that time all returned to listening, and nobody followed the store for up to 1.9 s. Here the store stopped answering 0.5 s after the announcement, before any host had read it. Change: the wait of 4 s still applies to the first read of a host without a catalog and to hosts that know nobody. A host that reads because its view is stale, and knows peers, stays reader under the usual rules.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -62,6 +62,8 @@
     /// When this host last pulled rows that it lacks.
     last_pull_at_ms: Option<u64>,
     role: Role,
+    /// Whether this host became a reader because its catalog was stale, not because it had none.
+    has_taken_over: bool,
     next_heartbeat_ms: u64,
     reassembly: Option<Reassembly>,
     store_health: StoreHealth,
@@ -89,6 +91,7 @@
             last_received_at_ms: None,
             last_pull_at_ms: None,
             role: Role::Listener,
+            has_taken_over: false,
             next_heartbeat_ms: 0,
             reassembly: None,
             store_health: StoreHealth::default(),
@@ -153,7 +156,7 @@
         self.catalog.advance(revision);
         self.confirm(valid_at_ms, self.topology.me());
         self.track_absence(&changed_rows, now_ms);
-        self.role = self.decide_role(now_ms);
+        self.update_role(now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         // At the first read every row is new to this host, so `changed_rows` says nothing about the
         // other hosts: they read the store as well or already know more.
@@ -207,7 +210,7 @@
         self.purge_gone(now_ms);
         self.expire_lapsed(now_ms);
         let mut out = self.poll_peers_if_stale(now_ms);
-        self.role = self.decide_role(now_ms);
+        self.update_role(now_ms);
         if self.role == Role::Listener {
             // A host that does not read the store has no recent evidence that it is healthy.
             self.store_health.on_failure();
--- a/crates/relay/src/relay/role.rs
+++ b/crates/relay/src/relay/role.rs
@@ -35,7 +35,13 @@
         peers.iter().map(|peer| Outgoing { to: peer.address, message: message.clone() }).collect()
     }
 
-    pub(super) fn decide_role(&self, now_ms: u64) -> Role {
+    pub(super) fn update_role(&mut self, now_ms: u64) {
+        self.role = self.decide_role(now_ms);
+        self.has_taken_over =
+            self.role == Role::Reader && (self.has_taken_over || self.confirmed_at_ms.is_some());
+    }
+
+    fn decide_role(&self, now_ms: u64) -> Role {
         let rank = self.topology.rank();
         if self.confirmed_at_ms.is_none() {
             // Callers are waiting, and the known peers may not have a catalog either.
@@ -45,9 +51,12 @@
             return if is_due { Role::Reader } else { Role::Listener };
         }
         // After a power outage all hosts start at once, and each ranks itself first. What a host
-        // has just read itself is as good as what a reader would send it.
+        // has just read itself is as good as what a reader would send it. Once views are stale, the
+        // host that reads first goes on, and the others hear of it.
         let in_startup_grace = now_ms < self.started_at_ms + self.config.startup_grace_ms;
+        let follows_for_peers = self.has_taken_over && !self.topology.peers().is_empty();
         if in_startup_grace
+            && !follows_for_peers
             && self.age_ms(self.confirmed_at_ms, now_ms) < self.config.stale_after_ms
         {
             return Role::Listener;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -121,6 +121,14 @@
         self.listed.push((self.revision, target(id)));
     }
 
+    /// Announces that a target leaves.
+    pub fn announce_leaving(&mut self, id: u64) {
+        self.announce(id);
+        if let Some((_, Record::Target(target))) = self.listed.last_mut() {
+            target.stage = Stage::Draining;
+        }
+    }
+
     /// Removes the announcement of a target.
     pub fn remove(&mut self, id: u64) {
         self.revision += 1;
@@ -190,6 +198,14 @@
         catalog.get(Key::Target(TargetId(id))).map(|row| row.presence)
     }
 
+    /// Whether a host knows that a target leaves.
+    pub fn is_leaving(&self, index: usize, id: u64) -> bool {
+        let row = self.hosts[index].relay.catalog().get(Key::Target(TargetId(id)));
+        row.is_some_and(
+            |row| matches!(&row.record, Record::Target(target) if target.stage == Stage::Draining),
+        )
+    }
+
     /// Advances time by `duration_ms`, calling `observe` after every step.
     pub fn run(&mut self, duration_ms: u64, mut observe: impl FnMut(&Fleet)) {
         let end_ms = self.now_ms + duration_ms;
--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -4,7 +4,7 @@
 
 use catalog::Presence;
 use proptest::{prelude::*, test_runner::RngSeed};
-use support::Fleet;
+use support::{Fleet, Store};
 
 #[test]
 fn one_reader() {
@@ -31,6 +31,26 @@
     assert!(fleet.reads <= 2 * 60 + 20, "{} reads", fleet.reads);
 }
 
+#[test]
+fn leaving_after_start() {
+    let mut fleet = Fleet::new(12, 3, 1);
+    fleet.set_known_peers(0..0);
+    fleet.announce(1);
+    fleet.run(300, |_| {});
+    fleet.set_known_peers(0..12);
+    fleet.run(2_300, |_| {});
+    fleet.announce_leaving(1);
+    // The store fails before the views of the hosts are old enough for another read.
+    fleet.run(600, |_| {});
+    fleet.store = Store::Down;
+    fleet.run(100, |_| {});
+    for index in 0..fleet.len() {
+        assert!(fleet.is_leaving(index, 1), "host {index}");
+    }
+    // Each host reads when it starts and at most once more; the reader reads every 500 ms.
+    assert!(fleet.reads <= 2 * 12 + 6, "{} reads", fleet.reads);
+}
+
 #[test]
 fn few_known_peers() {
     let mut fleet = Fleet::new(60, 3, 1);
