Ask peers before placing openings by an old view

Cause: the host that sent them had been paused for 3.1 s and missed the announcement. It placed the openings that had queued up by a view 4.2 s old, less than 0.1 s before it had the change from another host. The data thread may also run before the control thread notices the pause, and answers to the first polls after it were discarded with the queue. Change: the relay says until when openings may be placed by its catalog: up to an age of 2.5 s, and by an older one for 1 s after each tick, once the host has run and asked for 500 ms. A pause ends that permission by itself, in whichever order the threads resume. The first tick after a pause waits until the answers to its polls count. Weighed: a limit on the age alone, by which hosts in a long outage of the store would stop; a message from the control thread to the data thread, which may come too late; holding the queued openings, which most callers have given up.

--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -14,7 +14,7 @@
 use catalog::Directory;
 use eyre::{Result, WrapErr};
 use futures_lite::StreamExt;
-use relay::Role;
+use relay::{Relay, Role};
 use routing::HostId;
 use smol::{
     LocalExecutor, Timer,
@@ -171,7 +171,7 @@
         let Some(confirmed_at_ms) = relay.confirmed_at_ms() else { return };
         let published = self.published.get();
         if published.is_some_and(|published| published.changes == catalog.change_count()) {
-            self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
+            self.publish_times(relay, confirmed_at_ms);
             return;
         }
         let now_ms = clock::now_ms();
@@ -201,13 +201,19 @@
             ],
         );
         self.shared.directory.store(Some(Arc::new(directory)));
-        self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
+        self.publish_times(relay, confirmed_at_ms);
         if published.is_none() {
             telemetry::emit(Event::Ready, &[]);
             self.shared.wake_data_thread();
         }
     }
 
+    /// Publishes the times that apply to the published directory.
+    fn publish_times(&self, relay: &Relay, confirmed_at_ms: u64) {
+        self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
+        self.shared.placement_until_ms.store(relay.placement_until_ms(), Ordering::Release);
+    }
+
     fn send_all(&self, messages: OutgoingMessages) {
         for (to, message) in messages {
             self.send(to, &message);
@@ -305,6 +311,10 @@
     async fn tick_forever(self) {
         let mut role = Role::Listener;
         loop {
+            if self.detect_pause(clock::now_ms()) {
+                // Answers to the polls of this tick would be discarded.
+                Timer::after(Duration::from_millis(DISCARD_AFTER_PAUSE_MS)).await;
+            }
             let now_ms = clock::now_ms();
             self.detect_pause(now_ms);
             let messages = self.with_core(|core| core.tick(now_ms));
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -51,6 +51,8 @@
     /// The time between a request and its answer, by listener and kind of request.
     answer_wait: Histogram,
     directory: Option<Arc<Directory>>,
+    /// Until when new flows may be placed by `directory`, by the monotonic clock.
+    placement_until_ms: u64,
     pending: Vec<PendingPacket>,
     send_buffer: Vec<u8>,
     next_notice_ms: u64,
@@ -74,6 +76,7 @@
             answer_wait,
             dispatcher,
             directory: None,
+            placement_until_ms: 0,
             pending: Vec::new(),
             send_buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             next_notice_ms: 0,
@@ -114,7 +117,7 @@
             }
             return;
         };
-        let view = View { directory: &directory, age_ms: self.view_age_ms(now_ms) };
+        let view = self.view(&directory, now_ms);
         let verdict = self.dispatcher.on_segment(view, &segment, now_ms);
         self.apply_verdict(verdict, &segment, datagram);
     }
@@ -151,11 +154,18 @@
         }
     }
 
-    fn view_age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.shared.confirmed_at_ms.load(Ordering::Relaxed))
+    fn view<'a>(&self, directory: &'a Directory, now_ms: u64) -> View<'a> {
+        let confirmed_at_ms = self.shared.confirmed_at_ms.load(Ordering::Relaxed);
+        View {
+            directory,
+            age_ms: now_ms.saturating_sub(confirmed_at_ms),
+            can_place_flows: now_ms < self.placement_until_ms,
+        }
     }
 
     fn update_directory(&mut self, now_ms: u64) {
+        // Read before the directory, so that it never applies to an older one.
+        self.placement_until_ms = self.shared.placement_until_ms.load(Ordering::Acquire);
         let published = self.shared.directory.load();
         let is_same = match (&self.directory, &*published) {
             (Some(current), Some(latest)) => Arc::ptr_eq(current, latest),
@@ -199,7 +209,7 @@
         }
         self.next_notice_ms = now_ms + NOTICE_INTERVAL_MS;
         if let Some(directory) = self.directory.clone() {
-            let view = View { directory: &directory, age_ms: self.view_age_ms(now_ms) };
+            let view = self.view(&directory, now_ms);
             self.dispatcher.on_tick(view, now_ms);
         }
         if let Some(update) = self.dispatcher.take_load_update() {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -71,6 +71,8 @@
     pub(crate) directory: ArcSwapOption<Directory>,
     /// When the directory was last confirmed as current, by the monotonic clock.
     pub(crate) confirmed_at_ms: AtomicU64,
+    /// Until when new flows may be placed by the directory, by the monotonic clock.
+    pub(crate) placement_until_ms: AtomicU64,
     /// When the last packet arrived, by the monotonic clock.
     pub(crate) packet_at_ms: AtomicU64,
     pub(crate) notices: (Sender<Notice>, Receiver<Notice>),
@@ -94,6 +96,7 @@
             settings,
             directory: ArcSwapOption::empty(),
             confirmed_at_ms: AtomicU64::new(0),
+            placement_until_ms: AtomicU64::new(0),
             packet_at_ms: AtomicU64::new(0),
             notices: bounded(CHANNEL_CAPACITY),
             commands: bounded(CHANNEL_CAPACITY),
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -34,6 +34,17 @@
     pub poll_fanout: usize,
     /// Maximum number of rows per datagram; a row takes about 100 bytes.
     pub rows_per_batch: usize,
+    /// The maximum age of a catalog by which new flows are placed without asking peers and the store
+    /// for a newer one. Longer than it takes another host to replace a silent reader, shorter than
+    /// the time within which announcements have to be in force.
+    pub max_placement_age_ms: u64,
+    /// How long peers and the store may take to answer before new flows are placed by an older
+    /// catalog: two polls of peers, and less than the time after which callers send their last copy
+    /// of an opening. A gap of this length between ticks counts as a pause of the process.
+    pub placement_wait_ms: u64,
+    /// How long after a tick new flows may be placed by an older catalog. With `placement_wait_ms`
+    /// added, shorter than the time within which announcements have to be in force.
+    pub placement_lease_ms: u64,
     /// How long a target must have been lapsed when the catalog was last confirmed, for the target
     /// to be marked as gone: twice the time within which announcements reappear.
     pub lapsed_ttl_ms: u64,
@@ -56,6 +67,9 @@
             pull_timeout_ms: 300,
             poll_fanout: 3,
             rows_per_batch: 64,
+            max_placement_age_ms: 2_500,
+            placement_wait_ms: 500,
+            placement_lease_ms: 1_000,
             lapsed_ttl_ms: 5_000,
             gone_ttl_ms: 75_000,
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! The relay state of one host.
 
 mod absence;
+mod placement;
 mod role;
 
 use std::net::SocketAddr;
@@ -64,6 +65,10 @@
     role: Role,
     /// Whether this host became a reader because its catalog was stale, not because it had none.
     has_taken_over: bool,
+    last_tick_at_ms: u64,
+    /// Since when the catalog has been old enough for peers to be polled, not counting pauses of the
+    /// process; `None` while it is not.
+    old_since_ms: Option<u64>,
     next_heartbeat_ms: u64,
     reassembly: Option<Reassembly>,
     store_health: StoreHealth,
@@ -92,6 +97,8 @@
             last_pull_at_ms: None,
             role: Role::Listener,
             has_taken_over: false,
+            last_tick_at_ms: now_ms,
+            old_since_ms: None,
             next_heartbeat_ms: 0,
             reassembly: None,
             store_health: StoreHealth::default(),
@@ -209,6 +216,7 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         self.purge_gone(now_ms);
         self.expire_lapsed(now_ms);
+        self.track_age(now_ms);
         let mut out = self.poll_peers_if_stale(now_ms);
         self.update_role(now_ms);
         if self.role == Role::Listener {
--- a/crates/relay/src/relay/role.rs
+++ b/crates/relay/src/relay/role.rs
@@ -13,8 +13,7 @@
 impl Relay {
     /// Polls random peers if the catalog is about to become stale.
     pub(super) fn poll_peers_if_stale(&mut self, now_ms: u64) -> Vec<Outgoing> {
-        // Peers are polled early enough for their answers to arrive before the catalog is stale.
-        let poll_after_ms = self.config.stale_after_ms - self.config.poll_timeout_ms;
+        let poll_after_ms = self.poll_after_ms();
         let is_due = self
             .last_poll_at_ms
             .is_none_or(|polled_at_ms| now_ms >= polled_at_ms + 2 * self.config.poll_timeout_ms);
@@ -35,6 +34,12 @@
         peers.iter().map(|peer| Outgoing { to: peer.address, message: message.clone() }).collect()
     }
 
+    /// The age of a confirmation at which peers are polled: early enough for their answers to arrive
+    /// before the catalog is stale.
+    pub(super) fn poll_after_ms(&self) -> u64 {
+        self.config.stale_after_ms - self.config.poll_timeout_ms
+    }
+
     pub(super) fn update_role(&mut self, now_ms: u64) {
         self.role = self.decide_role(now_ms);
         self.has_taken_over =
@@ -94,7 +99,7 @@
             // A host without a catalog is stale once its peers have had time to answer.
             None => {
                 let waited_ms = now_ms.saturating_sub(self.started_at_ms);
-                self.config.stale_after_ms - self.config.poll_timeout_ms + waited_ms
+                self.poll_after_ms() + waited_ms
             }
         }
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -198,6 +198,11 @@
         catalog.get(Key::Target(TargetId(id))).map(|row| row.presence)
     }
 
+    /// Whether a host may place new flows by its catalog.
+    pub fn can_place_flows(&self, index: usize) -> bool {
+        self.now_ms < self.hosts[index].relay.placement_until_ms()
+    }
+
     /// Whether a host knows that a target leaves.
     pub fn is_leaving(&self, index: usize, id: u64) -> bool {
         let row = self.hosts[index].relay.catalog().get(Key::Target(TargetId(id)));
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -41,6 +41,9 @@
     pub directory: &'a Directory,
     /// The time since the directory was last confirmed to be current, in milliseconds.
     pub age_ms: u64,
+    /// Whether new flows may be placed by it. It may be too old for that until other hosts and the
+    /// store have been asked for a newer one.
+    pub can_place_flows: bool,
 }
 
 /// Decides, for one host, what to do with packets and targets.
@@ -193,6 +196,9 @@
     }
 
     fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
+        if !view.can_place_flows {
+            return Verdict::Drop(Reason::StaleView);
+        }
         let Some(listener) = view.directory.find_listener(segment.key.listener) else {
             return self.refuse(view, Reason::NoListener);
         };
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -62,7 +62,7 @@
     let (mut host, _) = busy_host();
     for _ in 0..20 {
         host.now_ms += 250;
-        let view = tagged::View { directory: &host.directory, age_ms: 100 };
+        let view = tagged::View { directory: &host.directory, age_ms: 100, can_place_flows: true };
         host.dispatcher.on_tick(view, host.now_ms);
     }
     assert!(host.due_checks().is_empty(), "silent callers are no evidence against the target");
@@ -162,7 +162,7 @@
     // Longer than `flow_idle_ms`, shorter than the idle timeout.
     for _ in 0..18 {
         host.now_ms += 500;
-        let view = tagged::View { directory: &host.directory, age_ms: 100 };
+        let view = tagged::View { directory: &host.directory, age_ms: 100, can_place_flows: true };
         host.dispatcher.on_tick(view, host.now_ms);
     }
     assert!(
--- a/crates/tagged/tests/hanging_target.rs
+++ b/crates/tagged/tests/hanging_target.rs
@@ -11,7 +11,7 @@
 fn advance(host: &mut Host, duration_ms: u64) {
     for _ in 0..duration_ms / 100 {
         host.now_ms += 100;
-        let view = View { directory: &host.directory, age_ms: 100 };
+        let view = View { directory: &host.directory, age_ms: 100, can_place_flows: true };
         host.dispatcher.on_tick(view, host.now_ms);
     }
 }
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -86,6 +86,21 @@
     assert_eq!(host.send(&segment), Verdict::Drop(Reason::StaleView));
 }
 
+#[test]
+fn resumed_host() {
+    let mut host = Host::new(&[(1, NEAR), (2, NEAR)]);
+    let (target, tag) = host.open(1, 0);
+    host.now_ms += 3_000;
+    // The view may lack that a target leaves.
+    host.can_place_flows = false;
+    assert_eq!(host.send(&opening(2, 0)), Verdict::Drop(Reason::StaleView));
+    let verdict = host.send(&data(1, tag, 6, 1));
+    assert!(matches!(verdict, Verdict::Forward { target: to, .. } if to == target), "{verdict:?}");
+    host.now_ms += 200;
+    host.can_place_flows = true;
+    host.open(2, 1);
+}
+
 #[test]
 fn silent_target() {
     let mut host = Host::new(&[(1, NEAR), (2, NEAR), (3, NEAR)]);
--- a/crates/tagged/tests/reused_address.rs
+++ b/crates/tagged/tests/reused_address.rs
@@ -16,7 +16,11 @@
         for _ in 0..duration_ms / 100 {
             self.now_ms += 100;
             self.view_age_ms = if is_store_available { 100 } else { self.view_age_ms + 100 };
-            let view = View { directory: &self.directory, age_ms: self.view_age_ms };
+            let view = View {
+                directory: &self.directory,
+                age_ms: self.view_age_ms,
+                can_place_flows: true,
+            };
             self.dispatcher.on_tick(view, self.now_ms);
         }
     }
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -75,6 +75,7 @@
     pub dispatcher: Dispatcher,
     pub directory: Directory,
     pub view_age_ms: u64,
+    pub can_place_flows: bool,
     pub now_ms: u64,
 }
 
@@ -83,7 +84,13 @@
     pub fn new(targets: &[(u64, u64)]) -> Host {
         let config = Config { domain_seed: NEAR, ..Config::default() };
         let directory = directory(rows(targets));
-        Host { dispatcher: Dispatcher::new(config, 1), directory, view_age_ms: 100, now_ms: 10_000 }
+        Host {
+            dispatcher: Dispatcher::new(config, 1),
+            directory,
+            view_age_ms: 100,
+            can_place_flows: true,
+            now_ms: 10_000,
+        }
     }
 
     /// Replaces the directory.
@@ -94,7 +101,11 @@
 
     /// Passes a packet to the dispatcher.
     pub fn send(&mut self, segment: &Segment) -> Verdict {
-        let view = View { directory: &self.directory, age_ms: self.view_age_ms };
+        let view = View {
+            directory: &self.directory,
+            age_ms: self.view_age_ms,
+            can_place_flows: self.can_place_flows,
+        };
         self.dispatcher.on_segment(view, segment, self.now_ms)
     }
 
