Judge targets by dated checks in the remaining places

An unclear check now changes no standing and is repeated, and references answered within the last second or, failing that, are drawn from another failure domain. - Flows to an unlisted target were reset by a failed check of any age and by a view of any age. An old view now proves nothing. - A relisted target stayed dead until a check, for ever if that was lost. - A check of a target's earlier start judged the later one. - The first packet after a pause was judged before the verdict expired. - Several checks of one target could be in flight, and each failure doubled the delay of the next one.

The setup of relisted_target lets a lost check time out first.

--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -85,7 +85,7 @@
     id: TargetId,
     domain_seed: u64,
     started_at_ms: u64,
-    is_gone: bool,
+    is_listed: bool,
 }
 
 /// The period after its start during which a target is slow.
@@ -281,8 +281,11 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.record_gone(target.id);
-            let is_dead = self.health.standing(target.id) == Standing::Dead;
+            let is_current = view.age_ms <= self.config.max_view_age_ms;
+            if is_current {
+                self.record_gone(target.id);
+            }
+            let is_dead = is_current && self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.remove_flow(segment);
                 return Verdict::Reset(Reason::TargetGone);
@@ -297,10 +300,13 @@
             };
         };
         self.update_flow(segment, listener, target.id, now_ms);
-        if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
+        let is_dead = self.health.standing(target.id) == Standing::Dead
+            && self.health.has_failed_recently(target.id, &self.config, now_ms);
+        if is_dead && segment.kind != SegmentKind::Abort {
             self.remove_flow(segment);
             return Verdict::Reset(Reason::TargetDead);
         }
+        self.health.recheck_expired(target.id, &self.config, now_ms);
         if segment.kind == SegmentKind::Abort {
             self.remove_flow(segment);
         }
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -14,7 +14,7 @@
     /// to replaced or dead ones are reset, and the warm-ups of new targets begin.
     pub fn on_directory(&mut self, directory: &Directory, now_ms: u64) {
         self.revision = directory.revision;
-        self.update_known(directory);
+        self.update_known(directory, now_ms);
         let is_listed = |index| directory.presence(index) != Presence::Gone;
         self.health.on_listed(|target| directory.find_target(target).is_some_and(is_listed));
         let targets_with_flows =
@@ -40,21 +40,21 @@
     }
 
     /// Notes the targets of `directory`, and forgets the health of those that have started again.
-    fn update_known(&mut self, directory: &Directory) {
+    fn update_known(&mut self, directory: &Directory, now_ms: u64) {
         let known = (0..directory.target_count()).map(TargetIndex).map(|index| {
             let target = directory.target(index);
             KnownTarget {
                 id: target.id,
                 domain_seed: target.domain_seed,
                 started_at_ms: target.started_at_ms,
-                is_gone: directory.presence(index) == Presence::Gone,
+                is_listed: directory.presence(index) == Presence::Listed,
             }
         });
         let previous = std::mem::replace(&mut self.known, known.collect());
         for earlier in previous {
             let found = self.known.binary_search_by_key(&earlier.id, |target| target.id);
             if found.is_ok_and(|index| self.known[index].started_at_ms != earlier.started_at_ms) {
-                self.health.forget(earlier.id);
+                self.health.forget(earlier.id, now_ms);
             }
         }
     }
@@ -75,23 +75,25 @@
         let has_flows = |target| own_load.contains_key(&target);
         let due = self.health.take_due_checks(has_flows, &self.config, now_ms);
         due.into_iter()
-            .map(|target| DueCheck { target, reference: self.choose_reference(target) })
+            .map(|target| DueCheck { target, reference: self.choose_reference(target, now_ms) })
             .collect()
     }
 
     /// Chooses the reference target for a check of `target`.
     ///
-    /// Without a target that answered recently, it is drawn at random: a fixed one might be dead
-    /// too, and then no check would decide anything.
-    fn choose_reference(&mut self, target: TargetId) -> Option<TargetId> {
-        if let Some(reference) = self.health.find_reference(target) {
+    /// Without a target that answered recently, it is drawn at random, preferably from another
+    /// failure domain than that of `target`: one that is dead too decides nothing.
+    fn choose_reference(&mut self, target: TargetId, now_ms: u64) -> Option<TargetId> {
+        if let Some(reference) = self.health.find_reference(target, &self.config, now_ms) {
             return Some(reference);
         }
+        let found = self.known.binary_search_by_key(&target, |known| known.id);
+        let domain_seed = found.ok().map(|index| self.known[index].domain_seed);
         let rank = |other: &KnownTarget| {
-            let is_far = other.domain_seed != self.config.domain_seed;
-            (self.health.standing(other.id) as u8, is_far)
+            let is_same_domain = Some(other.domain_seed) == domain_seed;
+            (self.health.standing(other.id) as u8, is_same_domain)
         };
-        let others = || self.known.iter().filter(|other| other.id != target && !other.is_gone);
+        let others = || self.known.iter().filter(|other| other.id != target && other.is_listed);
         let best = others().map(rank).min()?;
         let candidates: Vec<TargetId> =
             others().filter(|other| rank(other) == best).map(|other| other.id).collect();
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -73,8 +73,14 @@
     checked_at_ms: u64,
     /// When the target last answered a check.
     answered_at_ms: u64,
-    /// When the last check of this host began that the target failed; none after a sign of life.
+    /// The start of the last check of this host that the target failed; none after a sign of life.
     failed_at_ms: Option<u64>,
+    /// When to check the target again without new evidence.
+    next_check_ms: Option<u64>,
+    /// The start of the check in flight.
+    check_in_flight_ms: Option<u64>,
+    /// Checks that began earlier concern an earlier start of the target.
+    new_start_at_ms: u64,
     failed_openings: u32,
     stalled_flows: u32,
     is_check_due: bool,
@@ -140,9 +146,9 @@
     }
 
     /// Forgets all about `target`, which has started again.
-    pub fn forget(&mut self, target: TargetId) {
+    pub fn forget(&mut self, target: TargetId, now_ms: u64) {
         if let Ok(position) = self.position(target) {
-            self.records.remove(position);
+            self.records[position] = Record { new_start_at_ms: now_ms, ..Record::new(target) };
         }
     }
 
@@ -154,7 +160,10 @@
                 // The target has announced itself again.
                 record.died_at_ms = None;
                 record.failed_at_ms = None;
-                record.is_check_due |= record.standing == Standing::Dead;
+                if record.standing == Standing::Dead {
+                    record.is_check_due = true;
+                    record.set_standing(Standing::Suspect);
+                }
             }
         }
     }
@@ -165,6 +174,7 @@
         record.progress_at_ms = now_ms;
         record.died_at_ms = None;
         record.failed_at_ms = None;
+        record.next_check_ms = None;
         record.full_backoff_ms = 0;
         record.failed_openings = 0;
         record.stalled_flows = 0;
@@ -232,11 +242,16 @@
         now_ms: u64,
     ) -> bool {
         let record = self.record(target);
+        record.check_in_flight_ms = None;
+        if started_at_ms < record.new_start_at_ms {
+            return false;
+        }
         match verdict {
             Verdict::Answered => {
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
                 record.answered_at_ms = now_ms;
+                record.next_check_ms = None;
                 if record.died_at_ms.is_some_and(|at_ms| now_ms >= at_ms + config.address_reuse_ms)
                 {
                     return record.set_standing(Standing::Suspect);
@@ -248,14 +263,13 @@
             Verdict::Unclear => {
                 record.failed_openings = 0;
                 record.stalled_flows = 0;
-                record.died_at_ms = None;
-                record.failed_at_ms = None;
-                record.set_standing(Standing::Good)
+                record.next_check_ms = Some(now_ms + config.check_interval_ms);
+                false
             }
             Verdict::Failed
                 if record.progress_at_ms.max(record.answered_at_ms) >= started_at_ms =>
             {
-                record.is_check_due = record.is_gone;
+                record.is_check_due |= record.is_gone;
                 false
             }
             Verdict::Failed if now_ms >= started_at_ms + config.verdict_ttl_ms => {
@@ -271,6 +285,7 @@
                 };
                 record.recheck_delay_ms = delay_ms.min(config.max_recheck_delay_ms);
                 record.failed_at_ms = Some(started_at_ms);
+                record.next_check_ms = Some(started_at_ms + record.recheck_delay_ms);
                 record.died_at_ms.get_or_insert(now_ms);
                 record.set_standing(Standing::Dead)
             }
@@ -287,6 +302,9 @@
     ) -> Vec<TargetId> {
         let mut targets = Vec::new();
         for record in &mut self.records {
+            if record.is_check_in_flight(config, now_ms) {
+                continue;
+            }
             record.is_check_due |= record.is_recheck_due(now_ms);
             let is_repeat_due = record.is_gone
                 && record.standing != Standing::Dead
@@ -295,18 +313,26 @@
                 | (is_repeat_due && has_flows(record.target))
             {
                 record.checked_at_ms = now_ms;
+                record.check_in_flight_ms = Some(now_ms);
                 targets.push(record.target);
             }
         }
         targets
     }
 
-    /// The good target, other than `target`, whose flows made progress most recently.
-    pub fn find_reference(&self, target: TargetId) -> Option<TargetId> {
+    /// The good target, other than `target`, whose flows made progress most recently, within the
+    /// interval between checks.
+    pub fn find_reference(
+        &self,
+        target: TargetId,
+        config: &Config,
+        now_ms: u64,
+    ) -> Option<TargetId> {
+        let since_ms = now_ms.saturating_sub(config.check_interval_ms).max(1);
         self.records
             .iter()
             .filter(|record| record.target != target && record.standing == Standing::Good)
-            .filter(|record| record.progress_at_ms > 0)
+            .filter(|record| record.progress_at_ms >= since_ms)
             .max_by_key(|record| record.progress_at_ms)
             .map(|record| record.target)
     }
@@ -316,19 +342,29 @@
     ///
     /// A dead target that the store no longer lists stays dead.
     pub fn expire_verdicts(&mut self, config: &Config, now_ms: u64) -> Vec<TargetId> {
-        let is_expired = |record: &&mut Record| {
-            let is_old =
-                record.failed_at_ms.is_some_and(|at_ms| now_ms >= at_ms + config.verdict_ttl_ms);
-            record.standing == Standing::Dead && !record.is_gone && is_old
-        };
-        self.records
-            .iter_mut()
-            .filter(is_expired)
-            .map(|record| {
+        let mut expired = Vec::new();
+        for record in &mut self.records {
+            let is_dead = record.standing == Standing::Dead && !record.is_gone;
+            if is_dead && !record.has_failed_recently(config, now_ms) {
                 record.set_standing(Standing::Suspect);
-                record.target
-            })
-            .collect()
+                expired.push(record.target);
+            }
+        }
+        expired
+    }
+
+    /// Whether `target` has failed a check of this host a short time ago and shown no life since.
+    pub fn has_failed_recently(&self, target: TargetId, config: &Config, now_ms: u64) -> bool {
+        self.find(target).is_some_and(|record| record.has_failed_recently(config, now_ms))
+    }
+
+    /// Makes a check of `target` due if the verdict of the last one has expired.
+    pub fn recheck_expired(&mut self, target: TargetId, config: &Config, now_ms: u64) {
+        if let Ok(position) = self.position(target) {
+            let record = &mut self.records[position];
+            record.is_check_due |=
+                record.is_unreachable() && !record.has_failed_recently(config, now_ms);
+        }
     }
 
     /// Ends expired suspicions and removes the records of targets for which `is_known` is false.
@@ -375,24 +411,7 @@
         let position = match self.position(target) {
             Ok(position) => position,
             Err(position) => {
-                let record = Record {
-                    target,
-                    standing: Standing::Good,
-                    suspect_until_ms: 0,
-                    progress_at_ms: 0,
-                    checked_at_ms: 0,
-                    answered_at_ms: 0,
-                    failed_at_ms: None,
-                    failed_openings: 0,
-                    stalled_flows: 0,
-                    is_check_due: false,
-                    is_gone: false,
-                    died_at_ms: None,
-                    confirmed_alive_at_ms: None,
-                    full_backoff_ms: 0,
-                    recheck_delay_ms: 0,
-                };
-                self.records.insert(position, record);
+                self.records.insert(position, Record::new(target));
                 position
             }
         };
@@ -405,6 +424,29 @@
 }
 
 impl Record {
+    fn new(target: TargetId) -> Record {
+        Record {
+            target,
+            standing: Standing::Good,
+            suspect_until_ms: 0,
+            progress_at_ms: 0,
+            checked_at_ms: 0,
+            answered_at_ms: 0,
+            failed_at_ms: None,
+            next_check_ms: None,
+            check_in_flight_ms: None,
+            new_start_at_ms: 0,
+            failed_openings: 0,
+            stalled_flows: 0,
+            is_check_due: false,
+            is_gone: false,
+            died_at_ms: None,
+            confirmed_alive_at_ms: None,
+            full_backoff_ms: 0,
+            recheck_delay_ms: 0,
+        }
+    }
+
     /// Whether the target answered a check so recently that another would reveal nothing new.
     fn has_answered_recently(&self, config: &Config, now_ms: u64) -> bool {
         self.answered_at_ms > 0 && now_ms < self.answered_at_ms + config.check_interval_ms
@@ -415,12 +457,21 @@
         self.failed_at_ms.is_some_and(|at_ms| self.answered_at_ms < at_ms)
     }
 
-    /// Whether an unreachable target is to be checked again. A dead target that the store no longer
-    /// lists is not.
+    /// Whether a check is due without new evidence. A dead target that the store no longer lists is
+    /// not checked again.
     fn is_recheck_due(&self, now_ms: u64) -> bool {
         let is_final = self.is_gone && self.standing == Standing::Dead;
-        let checked_at_ms = self.failed_at_ms.unwrap_or(0).max(self.checked_at_ms);
-        self.is_unreachable() && !is_final && now_ms >= checked_at_ms + self.recheck_delay_ms
+        !is_final && self.next_check_ms.is_some_and(|at_ms| now_ms >= at_ms)
+    }
+
+    /// Whether a check is in flight. A verdict that has not come by the next interval is lost.
+    fn is_check_in_flight(&self, config: &Config, now_ms: u64) -> bool {
+        self.check_in_flight_ms.is_some_and(|at_ms| now_ms < at_ms + config.check_interval_ms)
+    }
+
+    /// Whether the last check failed so recently that flows may be reset because of it.
+    fn has_failed_recently(&self, config: &Config, now_ms: u64) -> bool {
+        self.failed_at_ms.is_some_and(|at_ms| now_ms < at_ms + config.verdict_ttl_ms)
     }
 
     /// Makes a good target suspect if the evidence suffices. Returns whether the standing changed.
--- a/crates/tagged/tests/relisted_target.rs
+++ b/crates/tagged/tests/relisted_target.rs
@@ -33,6 +33,8 @@
     host.set_rows(with_presence(2, Presence::Gone));
     host.now_ms += 20_000;
     host.due_checks();
+    // The outcome of that check is lost.
+    host.now_ms += 1_000;
     host.set_rows(with_presence(3, Presence::Listed));
     host.dispatcher.take_resets();
     (host, tag)
@@ -44,7 +46,7 @@
     let (mut host, tag) = host_after_return();
     host.now_ms += 20;
     let verdict = host.send(&data(7, tag, 100, 50));
-    assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}: the check is 23 s old");
+    assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}: the check is 24 s old");
 }
 
 /// The request for the check, or its outcome, is lost because a channel is full.
--- a/crates/tagged/tests/reused_address.rs
+++ b/crates/tagged/tests/reused_address.rs
@@ -125,6 +125,8 @@
         })
         .collect();
     host.set_rows(gone);
+    // The store, which is available again, has told so.
+    host.view_age_ms = 100;
     assert!(host.due_checks().is_empty(), "another target may answer at the address");
     assert_eq!(host.send(&data(300, tag, 10, 10)), Verdict::Reset(Reason::TargetGone));
 }
