--- a/crates/edge/src/checks.rs
+++ b/crates/edge/src/checks.rs
@@ -27,8 +27,7 @@
 /// Several round trips, but short, since callers wait for the result.
 const ATTEMPT_DELAY_MS: u64 = 30;
 
-/// Connects to a suspected target and, at the same time, to a reference target that has answered
-/// recently. If neither accepts, the fault may be this host's or its link's, and the verdict is
+/// Connects to a suspected target and, at the same time, to a reference target. If neither accepts, the fault may be this host's or its link's, and the verdict is
 /// unclear.
 pub(crate) async fn check_target(state: State, due: DueCheck) {
     let started_at_ms = clock::now_ms();
@@ -56,7 +55,7 @@
         ],
     );
     let command = Command::Checked { target: due.target, verdict, started_at_ms };
-    // If the channel is full the verdict is lost, and the data thread requests the check again.
+    // If the channel is full the verdict is lost, and the data thread requests another check later.
     let _ = state.shared.commands.0.try_send(command);
 }
 
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -56,7 +56,7 @@
     Evidence,
     /// A health check by this host.
     Check,
-    /// A report of the target's death by this host.
+    /// A report of the target's death by another host, which is named.
     Report(HostId),
     /// A flow of the target made progress.
     Progress,
