Test entries that share a live target's address

Cause: of two entries with one address, the one with the later start counts as live. Entries of services that no configuration names count too, and the starts come from wall clocks. Change: replaced_targets.rs; no logic. Result: unknown_service and clock_stepped_back fail, later_start passes.

--- /dev/null
+++ b/crates/catalog/tests/replaced_targets.rs
@@ -0,0 +1,69 @@
+//! Targets at whose address another entry names a target too.
+
+use std::net::SocketAddrV4;
+
+use catalog::{
+    Catalog, Directory, Limits, Presence, Record, Row, Service, Stage, Target, TargetId,
+};
+
+const SERVICE: u64 = 7;
+const UNKNOWN_SERVICE: u64 = 8;
+
+/// A target at the one address that all targets of these tests share.
+fn target(id: u64, service_seed: u64, started_at_ms: u64) -> Record {
+    Record::Target(Target {
+        id: TargetId(id),
+        service_seed,
+        address: SocketAddrV4::new([10, 0, 0, 1].into(), 8_000),
+        domain_seed: 1,
+        slots: 3,
+        stage: Stage::Ready,
+        warmup_ms: 0,
+        started_at_ms,
+    })
+}
+
+/// The ids of the targets that are replaced in the directory of `entries`, which are pairs of a
+/// revision and a record.
+fn replaced(entries: &[(u64, Record)]) -> Vec<u64> {
+    let service = Service { seed: SERVICE, health_path: "/health".to_owned(), flows_max: 100 };
+    let settings = [Record::Limits(Limits { idle_timeout_ms: 15_000 }), Record::Service(service)];
+    let mut catalog = Catalog::default();
+    let settings = settings.into_iter().map(|record| (1, record));
+    for (revision, record) in settings.chain(entries.iter().cloned()) {
+        catalog.merge(Row { revision, presence: Presence::Listed, record });
+        catalog.advance(revision);
+    }
+    let directory = Directory::new(&catalog);
+    let ids = entries.iter().filter_map(|(_, record)| match record {
+        Record::Target(target) => Some(target.id),
+        _ => None,
+    });
+    ids.filter(|id| directory.find_target(*id).is_some_and(|index| directory.is_replaced(index)))
+        .map(|id| id.0)
+        .collect()
+}
+
+#[test]
+fn later_start() {
+    let entries = [(10, target(1, SERVICE, 1_000)), (20, target(2, SERVICE, 9_000))];
+    assert_eq!(replaced(&entries), [1]);
+}
+
+#[test]
+fn unknown_service() {
+    // Not written by a target: no configuration names its service.
+    for started_at_ms in [1_001, u64::MAX] {
+        let entries =
+            [(10, target(1, SERVICE, 1_000)), (20, target(2, UNKNOWN_SERVICE, started_at_ms))];
+        assert_eq!(replaced(&entries), [], "a foreign entry started at {started_at_ms}");
+    }
+}
+
+#[test]
+fn clock_stepped_back() {
+    // The second target's wall clock was 5 s slow when it started at the address of the first one,
+    // which no longer writes its entry.
+    let entries = [(10, target(1, SERVICE, 9_000)), (20, target(2, SERVICE, 4_000))];
+    assert_eq!(replaced(&entries), [1], "the last one to appear is the live one");
+}
