--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -62,6 +62,8 @@
     pub groups: Vec<u32>,
     /// Percentage of messages that are lost.
     pub loss_percent: u32,
+    /// The time that messages wait in the receive queue of each host, in milliseconds.
+    pub queue_ms: Vec<u64>,
     pub store: Store,
     /// The records in the store, each with the revision at which it was written.
     listed: Vec<(u64, Record)>,
@@ -102,6 +104,7 @@
             .collect::<Vec<Host>>();
         Fleet {
             groups: vec![0; hosts.len()],
+            queue_ms: vec![0; hosts.len()],
             hosts,
             in_flight: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -134,6 +137,19 @@
 
     /// Restarts a host with an empty catalog; it knows all its peers.
     pub fn restart(&mut self, index: usize) {
+        self.restart_alone(index);
+        self.find_peers(index);
+    }
+
+    /// Restarts a host with an empty catalog; it does not know any peers yet.
+    pub fn restart_alone(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
+        host.relay = Relay::new(config, host.id, host.domain_seed, self.now_ms, host.id.0);
+    }
+
+    /// Makes a host know all its peers.
+    pub fn find_peers(&mut self, index: usize) {
         let peers: Vec<Peer> = (0..self.hosts.len())
             .filter(|other| *other != index)
             .map(|other| Peer {
@@ -142,10 +158,13 @@
                 domain_seed: self.hosts[other].domain_seed,
             })
             .collect();
-        let host = &mut self.hosts[index];
-        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
-        host.relay = Relay::new(config, host.id, host.domain_seed, self.now_ms, host.id.0);
-        host.relay.set_peers(peers);
+        self.hosts[index].relay.set_peers(peers);
+    }
+
+    /// Makes a host ask another for its catalog, as hosts do when they start.
+    pub fn ask_seed(&mut self, index: usize, seed: usize) {
+        let outgoing = self.hosts[index].relay.pull_from(address(seed));
+        self.send(index, vec![outgoing]);
     }
 
     /// Limits the peers that each host knows to the hosts with the indices `known`.
@@ -250,7 +269,8 @@
             }
             let copies = if self.rng.random_range(0..20) == 0 { 2 } else { 1 };
             for _ in 0..copies {
-                let due_ms = self.now_ms + self.rng.random_range(1..DELAY_MS);
+                let delay_ms = self.rng.random_range(1..DELAY_MS) + self.queue_ms[to];
+                let due_ms = self.now_ms + delay_ms;
                 let message = outgoing.message.clone();
                 self.in_flight.push(Datagram { due_ms, from, to, message });
             }
