Test parts of two transfers with different rows

Cause: parts of two transfers of all rows with the same sender and revision count as one transfer; a row between them is marked absent at the current revision, a listener as gone, and no later transfer corrects it. Change: mixed_transfers.rs; no logic.

--- /dev/null
+++ b/crates/relay/tests/mixed_transfers.rs
@@ -0,0 +1,132 @@
+//! Parts of two transfers of all rows, sent by one host at one revision with different rows.
+//!
+//! Failure scenario: a part of a transfer is lost, and the host pulls again. Meanwhile the sender
+//! has deleted a gone row, which changes neither its revision nor its digest, but moves the other
+//! rows to other parts.
+
+mod support;
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use catalog::{Catalog, Key, Listener, Presence, Record, RequestKind, Row, Share};
+use relay::{Config, Heartbeat, Message, Peer, Pull, Relay, RowBatch, Scope};
+use routing::HostId;
+use support::target;
+
+const ME: HostId = HostId(1);
+const SENDER: HostId = HostId(2);
+const REVISION: u64 = 140;
+const ROWS_PER_PART: usize = 3;
+
+fn sender_address() -> SocketAddr {
+    ([127, 0, 0, 1], 2).into()
+}
+
+fn listener(port: u16) -> Record {
+    Record::Listener(Listener {
+        address: SocketAddrV4::new([198, 18, 0, 1].into(), port),
+        shares: vec![Share { service_seed: 1, weight: 1 }],
+        kind: RequestKind::Idempotent,
+        priority: 1,
+        aim_ms: 250,
+        timeout_ms: 1_500,
+    })
+}
+
+fn row(presence: Presence, record: Record) -> Row {
+    Row { revision: 20, presence, record }
+}
+
+/// The listed rows: listeners on the ports 81 to 84 and one target.
+fn listed_rows() -> Vec<Row> {
+    let records = (81..=84).map(listener).chain([target(1)]);
+    records.map(|record| row(Presence::Listed, record)).collect()
+}
+
+/// The rows of the sender before it deletes the gone listener on port 80.
+fn rows_with_gone() -> Vec<Row> {
+    std::iter::once(row(Presence::Gone, listener(80))).chain(listed_rows()).collect()
+}
+
+/// The parts of a transfer of `rows`, which are sorted by key.
+fn transfer(scope: Scope, rows: &[Row]) -> Vec<Message> {
+    let mut catalog = Catalog::default();
+    rows.iter().for_each(|row| {
+        catalog.merge(row.clone());
+    });
+    let heartbeat = Heartbeat {
+        root: HostId(0),
+        revision: REVISION,
+        digest: catalog.digest(),
+        age_ms: 10,
+        reader: SENDER,
+    };
+    let chunks: Vec<Vec<Row>> = rows.chunks(ROWS_PER_PART).map(<[Row]>::to_vec).collect();
+    let parts = chunks.len() as u32;
+    (0..parts)
+        .zip(chunks)
+        .map(|(part, rows)| {
+            Message::Rows(RowBatch { heartbeat, scope, after: 0, part, parts, rows })
+        })
+        .collect()
+}
+
+/// A host that knows all rows but the target, and has just pulled all rows of the sender.
+fn pulling_host(now_ms: u64) -> Relay {
+    let mut relay = Relay::new(Config::default(), ME, 1, 0, 7);
+    let peer = Peer { id: SENDER, address: sender_address(), domain_seed: 1 };
+    relay.set_peers(vec![peer]);
+    let known = &listed_rows()[..4];
+    for message in transfer(Scope::Changes, known) {
+        relay.on_message(sender_address(), SENDER, message, now_ms);
+    }
+    let Some(Message::Rows(batch)) = transfer(Scope::All, &listed_rows()).pop() else {
+        panic!("a transfer has parts");
+    };
+    let heartbeat = Message::Heartbeat(batch.heartbeat);
+    let out = relay.on_message(sender_address(), SENDER, heartbeat, now_ms);
+    let is_pull =
+        |message: &Message| matches!(message, Message::Pull(Pull { scope: Scope::All, .. }));
+    assert!(out.iter().any(|outgoing| is_pull(&outgoing.message)), "{out:?}");
+    relay
+}
+
+fn assert_all_listed(relay: &Relay) {
+    for port in 81..=84 {
+        let presence = relay.catalog().get(Key::Listener(listener_address(port)));
+        assert_eq!(presence.map(|row| row.presence), Some(Presence::Listed), "port {port}");
+    }
+}
+
+fn listener_address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([198, 18, 0, 1].into(), port)
+}
+
+/// Delivers the part with index `first` of the transfer before the deletion, then the part with
+/// index `second` of the transfer after it.
+fn deliver_mixed(relay: &mut Relay, first: usize, second: usize, now_ms: u64) {
+    let before = transfer(Scope::All, &rows_with_gone())[first].clone();
+    let after = transfer(Scope::All, &listed_rows())[second].clone();
+    relay.on_message(sender_address(), SENDER, before, now_ms + 5);
+    relay.on_message(sender_address(), SENDER, after, now_ms + 320);
+}
+
+#[test]
+fn lost_parts() {
+    for (first, second) in [(0, 1), (1, 0)] {
+        let mut relay = pulling_host(10_000);
+        deliver_mixed(&mut relay, first, second, 10_000);
+        assert_all_listed(&relay);
+    }
+}
+
+#[test]
+fn later_transfer() {
+    let mut relay = pulling_host(10_000);
+    deliver_mixed(&mut relay, 0, 1, 10_000);
+    // Whatever the mixed parts did, a whole transfer at the same revision repairs it.
+    for message in transfer(Scope::All, &listed_rows()) {
+        relay.on_message(sender_address(), SENDER, message, 11_000);
+    }
+    assert_all_listed(&relay);
+}
