Test a false report of absence at the store's current revision

Cause: a full listing supersedes a false report only if the store's revision is greater than that of the report. Change: false_lapse.rs reports at a given revision; one more test; no logic. Result: current_revision fails: the target stays lapsed although the store lists it.

--- a/crates/relay/tests/false_lapse.rs
+++ b/crates/relay/tests/false_lapse.rs
@@ -34,16 +34,11 @@
     (relay, now_ms)
 }
 
-/// Another host reports that the target `id` lapsed before `REVISION`.
-fn report_lapsed(relay: &mut Relay, id: u64, now_ms: u64) {
-    let row = Row { revision: REVISION - 6, presence: Presence::Lapsed, record: target(id) };
-    let heartbeat = Heartbeat {
-        root: HostId(0),
-        revision: REVISION - 6,
-        digest: Digest(5),
-        age_ms: 10,
-        reader: OTHER,
-    };
+/// Another host reports that the target `id` lapsed at `revision`.
+fn report_lapsed(relay: &mut Relay, id: u64, revision: u64, now_ms: u64) {
+    let row = Row { revision, presence: Presence::Lapsed, record: target(id) };
+    let heartbeat =
+        Heartbeat { root: HostId(0), revision, digest: Digest(5), age_ms: 10, reader: OTHER };
     let batch =
         RowBatch { heartbeat, scope: Scope::Changes, after: 0, part: 0, parts: 1, rows: vec![row] };
     let from: SocketAddr = ([127, 0, 0, 1], 2).into();
@@ -57,7 +52,7 @@
 #[test]
 fn listed_again() {
     let (mut relay, now_ms) = reader();
-    report_lapsed(&mut relay, 2, now_ms);
+    report_lapsed(&mut relay, 2, REVISION - 6, now_ms);
     assert_eq!(presence(&relay, 2), Some(Presence::Lapsed));
     assert!(relay.take_relist_request(), "the reader has to do a full listing");
     assert!(!relay.take_relist_request(), "the request is returned once");
@@ -66,6 +61,16 @@
     assert!(out.is_empty(), "there are no peers to send to");
 }
 
+#[test]
+fn current_revision() {
+    let (mut relay, now_ms) = reader();
+    // The store has not changed since, so the full listing has the same revision as the report.
+    report_lapsed(&mut relay, 2, REVISION, now_ms);
+    assert!(relay.take_relist_request(), "the reader has to do a full listing");
+    relay.on_store_update(full_listing(now_ms), now_ms);
+    assert_eq!(presence(&relay, 2), Some(Presence::Listed));
+}
+
 #[test]
 fn removed_stays() {
     let (mut relay, now_ms) = reader();
