Let the target of restarted_target lapse while it is down

Cause: the store stops listing a target 3.6 s after its death, which the test left out. Change: restarted_target.rs; the longest cases come first, in which the target has run for 5 s or more again.

--- a/crates/tagged/tests/restarted_target.rs
+++ b/crates/tagged/tests/restarted_target.rs
@@ -6,14 +6,17 @@
 
 mod support;
 
-use catalog::{Record, Row, TargetId};
+use catalog::{Presence, Record, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, Verdict};
 
 const TARGET: TargetId = TargetId(1);
 
-/// The rows of a target that started at `started_at_ms`, listed at `revision`.
-fn rows_of_start(started_at_ms: u64, revision: u64) -> Vec<Row> {
+/// How long after its death the store stops listing a target: three missed announcements.
+const LAPSE_MS: u64 = 3_600;
+
+/// The rows with the target that started at `started_at_ms`.
+fn rows_of_start(started_at_ms: u64, revision: u64, presence: Presence) -> Vec<Row> {
     let mut rows = rows(&[(1, NEAR), (2, NEAR)]);
     for row in &mut rows {
         if let Record::Target(target) = &mut row.record
@@ -21,6 +24,7 @@
         {
             target.started_at_ms = started_at_ms;
             row.revision = revision;
+            row.presence = presence;
         }
     }
     rows
@@ -30,7 +34,7 @@
 /// another host opened to it since then arrives. No check is answered in between.
 fn check(down_ms: u64, after_ms: u64) {
     let mut host = Host::new(&[]);
-    host.set_rows(rows_of_start(1_000, 1));
+    host.set_rows(rows_of_start(1_000, 1, Presence::Listed));
     let (_, tag) = (0..)
         .map(|caller| host.open(caller, 0))
         .find(|(target, _)| *target == TARGET)
@@ -40,11 +44,14 @@
     host.dispatcher.take_resets();
     while host.now_ms < died_at_ms + down_ms {
         host.now_ms += 50;
+        if host.now_ms == died_at_ms + LAPSE_MS {
+            host.set_rows(rows_of_start(1_000, 2, Presence::Gone));
+        }
         for target in host.due_checks() {
             host.dispatcher.on_check(target, CheckVerdict::Failed, host.now_ms, host.now_ms);
         }
     }
-    host.set_rows(rows_of_start(host.now_ms, 2));
+    host.set_rows(rows_of_start(host.now_ms, 3, Presence::Listed));
     host.now_ms += after_ms;
     let verdict = host.send(&data(900, tag, 100, 50));
     assert!(
@@ -55,7 +62,7 @@
 
 #[test]
 fn new_start() {
-    for (down_ms, after_ms) in [(1_400, 300), (3_000, 2_500), (6_100, 5_500), (6_100, 7_500)] {
+    for (down_ms, after_ms) in [(6_100, 5_500), (6_100, 7_500), (3_000, 2_500), (1_400, 300)] {
         check(down_ms, after_ms);
     }
 }
