--- a/crates/wagtailstalld/tests/queued_copy.rs
+++ b/crates/wagtailstalld/tests/queued_copy.rs
@@ -16,7 +16,7 @@
 /// The host stops for `stall_ms` after it forwarded the opening. Returns the targets that answer the
 /// opening or its copy.
 fn answering_targets(bed: &mut Testbed, stall_ms: u64) -> Vec<u8> {
-    let caller = bed.manual_caller(0, 0).expect("a caller starts");
+    let caller = bed.manual_caller(0, 0, 0).expect("a caller starts");
     caller.send_opening(0).expect("the opening is sent");
     let replies = caller.receive_replies(1, 1_000).expect("the socket works");
     let first = *replies.first().expect("a target answers");
