Reset no unknown flows on a host that has just started

Callers saw open flows reset with code 605 although their target lived. A host that starts after announcements lapsed in an outage of the store reads the store itself and never learns of these targets: digests leave out rows that are not listed, and a peer answers an equal digest with a heartbeat. Its view was then current enough to prove that the targets were gone.

Until then packets with an unknown tag are dropped, and the host pulls all rows from one random peer after 0.5 s, then after doubling, jittered waits of up to 8 s. Only a host with a complete catalog answers these pulls with rows. The flag is in the directory, so it is published together with the rows.

In messages, a transfer of all rows by a host with an incomplete catalog says that it contains the changes after its own revision, not after 0. The wire format is unchanged. A push in one part no longer ends a transfer that is under way.

So that the tests do not pass merely because no host is complete, the other hosts must be complete when the host starts, and the host has to become complete while gone rows are kept, except at 25 % loss, where most transfers lose a part. New tests: all_started, older_transfer, few_pulls, incomplete_directory.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -19,6 +19,8 @@
     pub revision: u64,
     /// How long a flow may be idle before it may be dropped from the flow table, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// Whether a target that the directory lacks is gone; see [`Catalog::is_complete`].
+    pub is_complete: bool,
     listeners: Vec<Listener>,
     services: Vec<Service>,
     targets: Vec<(Target, Presence)>,
@@ -38,7 +40,11 @@
     /// Builds the directory of `catalog`, of which this directory holds an earlier state. The tag
     /// table is shared if the set of targets is unchanged.
     pub fn updated(&self, catalog: &Catalog) -> Directory {
-        let mut directory = Directory { revision: catalog.revision(), ..Directory::default() };
+        let mut directory = Directory {
+            revision: catalog.revision(),
+            is_complete: catalog.is_complete(),
+            ..Directory::default()
+        };
         for row in catalog.rows() {
             match &row.record {
                 Record::Target(target) => directory.targets.push((target.clone(), row.presence)),
--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -22,6 +22,7 @@
     revision: u64,
     digest: Digest,
     change_count: u64,
+    is_complete: bool,
 }
 
 impl Catalog {
@@ -35,11 +36,23 @@
         self.digest
     }
 
-    /// The number of row changes in this process, other than mere changes of revision.
+    /// The number of changes in this process, other than mere changes of revision.
     pub fn change_count(&self) -> u64 {
         self.change_count
     }
 
+    /// Whether the catalog contains every target that may still have flows. The store does not list
+    /// some of them, so a host that has just started has to learn of these from other hosts.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Records that the catalog contains every target that may still have flows.
+    pub fn mark_complete(&mut self) {
+        self.change_count += u64::from(!self.is_complete);
+        self.is_complete = true;
+    }
+
     /// The rows, sorted by key.
     pub fn rows(&self) -> &[Row] {
         &self.rows
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -30,6 +30,12 @@
     pub fanout: usize,
     /// How long a host waits for rows that it pulled before it pulls again.
     pub pull_timeout_ms: u64,
+    /// How long a host that has started waits at first before it pulls the rows that the store no
+    /// longer lists. The wait doubles up to `history_wait_max_ms` and is jittered, since many hosts
+    /// may start at once and all rows take long on their links.
+    pub history_wait_ms: u64,
+    /// Upper bound on that wait.
+    pub history_wait_max_ms: u64,
     /// How many peers a host polls at a time.
     pub poll_fanout: usize,
     /// Maximum number of rows per datagram; a row takes about 100 bytes.
@@ -54,6 +60,8 @@
             rank_step_ms: 130,
             fanout: 4,
             pull_timeout_ms: 300,
+            history_wait_ms: 500,
+            history_wait_max_ms: 8_000,
             poll_fanout: 3,
             rows_per_batch: 64,
             lapsed_ttl_ms: 5_000,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -44,7 +44,8 @@
 /// Requests rows; answered with a heartbeat if nothing is newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pull {
-    /// The revision of the requesting host.
+    /// The revision of the requesting host; 0 also to request every row that the store no longer
+    /// lists, which only a host that has them all answers with rows.
     pub revision: u64,
     /// The digest of its rows.
     pub digest: Digest,
@@ -59,7 +60,8 @@
     pub heartbeat: Heartbeat,
     /// Which rows the whole transfer contains.
     pub scope: Scope,
-    /// The transfer contains changes after this revision.
+    /// The transfer contains all changes after this revision. With [`Scope::All`] it contains every
+    /// listed row too, but may lack rows that the store stopped listing up to this revision.
     pub after: u64,
     /// The index of this part, from 0.
     pub part: u32,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! The relay state of one host.
 
 mod absence;
+mod history;
 mod role;
 
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use routing::HostId;
 
+use self::history::History;
 use crate::{
     Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope,
     key_timestamps::KeyTimestamps, reassembly::Reassembly, store_health::StoreHealth,
@@ -70,6 +72,7 @@
     /// When targets lapsed, and when rows became gone.
     lapsed: KeyTimestamps,
     gone: KeyTimestamps,
+    history: History,
     rng: StdRng,
 }
 
@@ -95,6 +98,7 @@
             needs_relist: false,
             lapsed: KeyTimestamps::default(),
             gone: KeyTimestamps::default(),
+            history: History::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -152,6 +156,7 @@
         }
         self.catalog.advance(revision);
         self.confirm(valid_at_ms, self.topology.me());
+        self.track_history(now_ms);
         self.track_absence(&changed_rows, now_ms);
         self.role = self.decide_role(now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
@@ -213,6 +218,8 @@
             self.store_health.on_failure();
         }
         out.extend(self.resolve_lapsed(now_ms));
+        self.track_history(now_ms);
+        out.extend(self.pull_history(now_ms));
         if self.role == Role::Reader && now_ms >= self.next_heartbeat_ms {
             self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
             out.extend(self.send_heartbeats(now_ms));
@@ -294,6 +301,7 @@
             self.lower_rank_confirmed_at_ms = self.lower_rank_confirmed_at_ms.max(Some(at_ms));
         }
         self.confirm(at_ms, heartbeat.reader);
+        self.track_history(now_ms);
         let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
         self.send_to_children(heartbeat.root, &Message::Heartbeat(next))
     }
@@ -301,6 +309,10 @@
     /// Pulls rows unless some are already in transit: many hosts that pull a large change at once
     /// would saturate the links it crosses.
     fn pull_rows(&mut self, to: SocketAddr, scope: Scope, now_ms: u64) -> Vec<Outgoing> {
+        self.send_pull(to, self.pull_request(scope), now_ms)
+    }
+
+    fn send_pull(&mut self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
         let is_recent = |at_ms: u64| now_ms < at_ms + self.config.pull_timeout_ms;
         let is_receiving = self
             .reassembly
@@ -310,20 +322,34 @@
             return Vec::new();
         }
         self.last_pull_at_ms = Some(now_ms);
-        vec![Outgoing { to, message: Message::Pull(self.pull_request(scope)) }]
+        vec![Outgoing { to, message: Message::Pull(pull) }]
     }
 
     fn on_pull(&self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
         let Some(heartbeat) = self.heartbeat(HostId(0), now_ms) else { return Vec::new() };
-        let has_changes = self.catalog.revision() > pull.revision || pull.scope == Scope::All;
-        if !has_changes || self.catalog.digest() == pull.digest {
+        let is_complete = self.catalog.is_complete();
+        let has_changes = match (pull.scope, pull.revision) {
+            // The host lacks rows that the store does not list, which no digest shows.
+            (Scope::All, 0) => is_complete,
+            (Scope::All, _) => self.catalog.digest() != pull.digest,
+            (Scope::Changes, revision) => {
+                self.catalog.revision() > revision && self.catalog.digest() != pull.digest
+            }
+        };
+        if !has_changes {
             return vec![Outgoing { to, message: Message::Heartbeat(heartbeat) }];
         }
-        let (scope, after) = match pull.scope {
-            Scope::All => (Scope::All, 0),
-            Scope::Changes => (Scope::Changes, pull.revision),
+        let (scope, after) = match (pull.scope, pull.revision) {
+            (Scope::All, _) | (Scope::Changes, 0) if !is_complete => {
+                (Scope::All, heartbeat.revision)
+            }
+            (Scope::All, _) => (Scope::All, 0),
+            (Scope::Changes, revision) => (Scope::Changes, revision),
+        };
+        let rows: Vec<Row> = match scope {
+            Scope::All => self.catalog.rows().to_vec(),
+            Scope::Changes => self.catalog.changed_after(after).cloned().collect(),
         };
-        let rows: Vec<Row> = self.catalog.changed_after(after).cloned().collect();
         self.batches(heartbeat, scope, after, &rows)
             .into_iter()
             .map(|message| Outgoing { to, message })
@@ -354,8 +380,11 @@
         if !self.add_part(sender, &batch, now_ms) {
             return out;
         }
+        if batch.after == 0 {
+            self.on_complete_history(batch.heartbeat.revision);
+        }
         // Rows after a gap do not advance the revision; `on_heartbeat` then pulls the missing ones.
-        if batch.after <= self.catalog.revision() {
+        if batch.scope == Scope::All || batch.after <= self.catalog.revision() {
             self.catalog.advance(batch.heartbeat.revision);
         }
         // The rows were forwarded already; their heartbeat is for this host alone.
@@ -366,7 +395,8 @@
 
     /// Adds a part of a transfer. Returns whether the transfer is complete.
     fn add_part(&mut self, sender: HostId, batch: &RowBatch, now_ms: u64) -> bool {
-        let current = self.reassembly.take().filter(|reassembly| reassembly.matches(sender, batch));
+        // A push in a single part does not end a transfer that is still under way.
+        let current = self.reassembly.take_if(|reassembly| reassembly.matches(sender, batch));
         let mut reassembly = current.unwrap_or_else(|| Reassembly::new(sender, batch));
         reassembly.last_part_at_ms = now_ms;
         if !reassembly.add(batch) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -55,6 +55,7 @@
 
 /// The hosts of all failure domains.
 pub struct Fleet {
+    config: Config,
     hosts: Vec<Host>,
     in_flight: Vec<Datagram>,
     rng: StdRng,
@@ -80,6 +81,12 @@
 impl Fleet {
     /// Creates `hosts` hosts, spread round-robin over `domains` failure domains.
     pub fn new(hosts: usize, domains: u64, seed: u64) -> Fleet {
+        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
+        Fleet::with_config(config, hosts, domains, seed)
+    }
+
+    /// Creates hosts with the timing and size limits of `config`.
+    pub fn with_config(config: Config, hosts: usize, domains: u64, seed: u64) -> Fleet {
         let peers: Vec<Peer> = (0..hosts)
             .map(|index| Peer {
                 id: HostId::from_address(address(index)),
@@ -90,8 +97,8 @@
         let hosts = peers
             .iter()
             .map(|me| {
-                let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
-                let mut relay = Relay::new(config, me.id, me.domain_seed, 0, me.id.0 ^ seed);
+                let mut relay =
+                    Relay::new(config.clone(), me.id, me.domain_seed, 0, me.id.0 ^ seed);
                 relay.set_peers(peers.iter().filter(|peer| peer.id != me.id).copied().collect());
                 Host {
                     id: me.id,
@@ -105,6 +112,7 @@
         Fleet {
             groups: vec![0; hosts.len()],
             queue_ms: vec![0; hosts.len()],
+            config,
             hosts,
             in_flight: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -144,8 +152,8 @@
     /// Restarts a host with an empty catalog; it does not know any peers yet.
     pub fn restart_alone(&mut self, index: usize) {
         let host = &mut self.hosts[index];
-        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
-        host.relay = Relay::new(config, host.id, host.domain_seed, self.now_ms, host.id.0);
+        host.relay =
+            Relay::new(self.config.clone(), host.id, host.domain_seed, self.now_ms, host.id.0);
     }
 
     /// Makes a host know all its peers.
--- a/crates/relay/tests/unlisted_rows.rs
+++ b/crates/relay/tests/unlisted_rows.rs
@@ -6,25 +6,43 @@
 
 mod support;
 
-use catalog::Presence;
-use support::{Fleet, Store};
+use std::net::SocketAddr;
+
+use catalog::{Digest, Presence};
+use relay::{Config, Heartbeat, Message, Peer, Pull, Relay, RowBatch, Scope, StoreUpdate};
+use routing::HostId;
+use support::{Fleet, Store, target};
 
 const HOSTS: usize = 30;
 /// The targets whose announcements lapse.
 const TARGETS: std::ops::RangeInclusive<u64> = 1..=5;
+/// How long gone rows are kept: shorter than by default, so that hosts soon know them all.
+const GONE_TTL_MS: u64 = 8_000;
 /// A target whose announcement does not lapse.
 const OTHER_TARGET: u64 = 6;
 
-/// A host starts `start_ms` after the store has returned without announcements; they reappear 2 s
-/// after its return. It asks `seeds` hosts for their rows; the other seeds in its settings are down.
-/// Asserts that the host knows the targets whenever its view could prove that they are gone.
-fn check(seeds: usize, loss_percent: u32, start_ms: u64, seed: u64) {
-    let mut fleet = Fleet::new(HOSTS, 3, seed);
+/// Hosts that have run long enough to know all unlisted rows.
+fn experienced_fleet(seed: u64) -> Fleet {
+    let config =
+        Config { rows_per_batch: 3, fanout: 2, gone_ttl_ms: GONE_TTL_MS, ..Config::default() };
+    let mut fleet = Fleet::with_config(config, HOSTS, 3, seed);
     TARGETS.for_each(|id| fleet.announce(id));
     fleet.announce(OTHER_TARGET);
     fleet.run(6_000, |_| {});
     fleet.store = Store::Down;
     fleet.run(4_000, |_| {});
+    let is_complete = |index| fleet.relay(index).catalog().is_complete();
+    assert!((0..HOSTS).all(is_complete), "seed {seed}: the hosts have run for {GONE_TTL_MS} ms");
+    fleet
+}
+
+/// A host starts `start_ms` after the store has returned without announcements; they reappear 2 s
+/// after its return. It asks `seeds` hosts for their rows; the other seeds in its settings are down.
+/// Asserts that the host knows the targets whenever its view could prove that they are gone, and
+/// that it learns of them before it has run for as long as gone rows are kept, unless most
+/// transfers lose a part.
+fn check(seeds: usize, loss_percent: u32, start_ms: u64, seed: u64) {
+    let mut fleet = experienced_fleet(seed);
     TARGETS.for_each(|id| fleet.remove(id));
     fleet.store = Store::Up;
     fleet.run(start_ms, |_| {});
@@ -38,7 +56,11 @@
     fleet.find_peers(started);
     fleet.run(1_800 - start_ms, |fleet| {
         let confirmed_at_ms = fleet.relay(started).confirmed_at_ms();
-        // The data path resets flows whose target is unknown 1 s after their first packet.
+        // The data path resets flows whose target is unknown 1 s after their first packet, if the
+        // catalog is complete.
+        if !fleet.relay(started).catalog().is_complete() {
+            return;
+        }
         if confirmed_at_ms.is_none_or(|at_ms| at_ms < first_packet_ms + 1_000) {
             return;
         }
@@ -51,6 +73,12 @@
             );
         }
     });
+    if loss_percent > 5 {
+        return;
+    }
+    fleet.run(GONE_TTL_MS - 2_000, |_| {});
+    assert!(fleet.relay(started).catalog().is_complete(), "seed {seed}: no history");
+    TARGETS.for_each(|id| assert!(fleet.presence(started, id).is_some(), "seed {seed}: {id}"));
 }
 
 #[test]
@@ -73,3 +101,64 @@
         (0..30).for_each(|seed| check(seeds, loss_percent, 200, seed));
     }
 }
+
+#[test]
+fn all_started() {
+    let mut fleet = experienced_fleet(1);
+    fleet.store = Store::Up;
+    (0..HOSTS).for_each(|index| fleet.restart(index));
+    let complete_hosts = |fleet: &Fleet| {
+        (0..HOSTS).filter(|index| fleet.relay(*index).catalog().is_complete()).count()
+    };
+    // No host remembers what the store does not list, so none may claim it because of another.
+    fleet.run(GONE_TTL_MS - 100, |fleet| assert_eq!(complete_hosts(fleet), 0));
+    fleet.run(1_000, |_| {});
+    assert_eq!(complete_hosts(&fleet), HOSTS);
+}
+
+fn peer_address() -> SocketAddr {
+    ([127, 0, 0, 1], 2).into()
+}
+
+/// A host with one peer that has read the store at `revision`.
+fn started_host(revision: u64) -> Relay {
+    let mut relay = Relay::new(Config::default(), HostId(1), 1, 0, 7);
+    relay.set_peers(vec![Peer { id: HostId(2), address: peer_address(), domain_seed: 1 }]);
+    let listed = vec![(20, target(1))];
+    relay.on_store_update(StoreUpdate { revision, listed, removed: vec![], valid_at_ms: 100 }, 100);
+    relay
+}
+
+/// Whether the catalog is complete after a transfer of all changes up to `revision`.
+fn is_complete_after(relay: &mut Relay, revision: u64) -> bool {
+    let heartbeat = Heartbeat {
+        root: HostId(0),
+        revision,
+        digest: relay.catalog().digest(),
+        age_ms: 10,
+        reader: HostId(2),
+    };
+    let rows = relay.catalog().rows().to_vec();
+    let batch = RowBatch { heartbeat, scope: Scope::All, after: 0, part: 0, parts: 1, rows };
+    relay.on_message(peer_address(), HostId(2), Message::Rows(batch), 200);
+    relay.catalog().is_complete()
+}
+
+#[test]
+fn older_transfer() {
+    let mut relay = started_host(140);
+    // A target may have announced itself and lapsed between the two revisions.
+    assert!(!is_complete_after(&mut relay, 130));
+    assert!(is_complete_after(&mut relay, 140));
+}
+
+#[test]
+fn few_pulls() {
+    let mut relay = started_host(140);
+    let pull = Pull { revision: 0, digest: Digest::default(), scope: Scope::All };
+    let pulls: usize = (1..1_500)
+        .map(|step| relay.tick(step * 100))
+        .map(|out| out.iter().filter(|sent| sent.message == Message::Pull(pull)).count())
+        .sum();
+    assert!((5..=16).contains(&pulls), "{pulls} pulls without an answer");
+}
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -274,12 +274,14 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
-    /// Resets the flow if the view is current enough to prove that the target is gone. The target
-    /// may be too new for an older view to contain it, so the packet is dropped in that case.
+    /// Resets the flow if the view proves that the target is gone; otherwise drops the packet. An
+    /// older view may lack a new target, and the view of a host that has just started may lack one
+    /// that the store does not list.
     fn on_unknown_tag(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let first_seen_ms = self.unknown_tags.first_seen_ms(segment.key, now_ms);
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
-        if confirmed_at_ms >= first_seen_ms + self.config.unknown_tag_timeout_ms {
+        let is_current = confirmed_at_ms >= first_seen_ms + self.config.unknown_tag_timeout_ms;
+        if is_current && view.directory.is_complete {
             return Verdict::Reset(Reason::UnknownTag);
         }
         Verdict::Drop(Reason::UnknownTag)
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -217,6 +217,20 @@
     assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Reset(Reason::UnknownTag));
 }
 
+#[test]
+fn incomplete_directory() {
+    let (mut host, _) = busy_host();
+    let unknown = catalog::FlowTag(0x1234_5678);
+    // The host has just started, and the store did not list the target any more.
+    host.directory.is_complete = false;
+    for _ in 0..10 {
+        assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Drop(Reason::UnknownTag));
+        host.now_ms += 300;
+    }
+    host.directory.is_complete = true;
+    assert_eq!(host.send(&data(9, unknown, 100, 50)), Verdict::Reset(Reason::UnknownTag));
+}
+
 #[test]
 fn unclear_check() {
     let (mut host, tag) = busy_host();
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -49,9 +49,10 @@
     }
 }
 
-/// The directory of `rows`.
+/// The directory of `rows` on a host that knows all targets.
 pub fn directory(rows: Vec<Row>) -> Directory {
     let mut catalog = Catalog::default();
+    catalog.mark_complete();
     for row in rows {
         catalog.advance(row.revision);
         catalog.merge(row);
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -139,7 +139,8 @@
 # One part of a set of rows: those that changed after a revision, or all.
 struct RowBatch {
   heartbeat @0 :Heartbeat;
-  # The set has the rows that changed after this revision, unless it has all rows.
+  # The set has all changes after this revision. A set of all rows may lack only rows that the
+  # store stopped listing before.
   after     @1 :UInt64;
   all       @2 :Bool;
   # The index of this part, from 0.
