Let a listing correct a false absence at its own revision

A live target got no new flows, and once it counted as gone its flows could be reset, after another host had reported it absent at the store's current revision. A listing at the same revision did not correct this: of two rows with the same revision, the absent one counted.

An absence is a conclusion, while a listed row was read from the store. So at the same revision the listed row counts now, on every host. The reader also pushes a corrected row whose revision is not newer than its last read. The encoding of rows is unchanged.

Evidence: current_revision in tests/false_lapse.rs failed before. New test: current_revision_elsewhere, where the other host has to be corrected too.

--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -173,16 +173,15 @@
 }
 
 /// Whether the store lists a record. Of two rows with the same revision, the one with the greater
-/// presence is newer.
+/// presence counts: a host read that the record is listed, but concludes that it is absent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
 pub enum Presence {
-    /// The store lists it.
-    Listed = 0,
     /// It vanished during a store outage and may reappear.
-    Lapsed = 1,
+    Lapsed,
     /// It is gone permanently.
-    Gone = 2,
+    Gone,
+    /// The store lists it.
+    Listed,
 }
 
 /// A record with its revision and presence.
--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -96,7 +96,7 @@
     /// Returns the changed rows.
     ///
     /// Only targets can lapse: they announce themselves repeatedly, while settings are written
-    /// once. Rows that changed after `revision` are left unchanged.
+    /// once. Rows that changed after `revision`, or that were listed at it, are left unchanged.
     pub fn mark_absent(
         &mut self,
         revision: u64,
@@ -109,7 +109,8 @@
                 (Absence::Provisional, Record::Target(_)) => Presence::Lapsed,
                 _ => Presence::Gone,
             };
-            if row.presence < presence && is_absent(row) {
+            let is_earlier = row.presence == Presence::Listed || row.presence < presence;
+            if is_earlier && is_absent(row) {
                 absent.push(Row { revision, presence, ..row.clone() });
             }
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -165,9 +165,13 @@
         if changed_rows.is_empty() || after == 0 {
             return self.send_heartbeats(now_ms);
         }
-        // Not only `changed_rows`: rows that peers sent since the last read were merged already, so
-        // they are not among these, but have to be pushed too.
-        let rows = self.catalog.changed_after(after).cloned().collect();
+        // Rows that peers sent since the last read were merged already, so they are not among
+        // `changed_rows`. Of these, a corrected row may have the revision `after`.
+        let mut changed: Vec<Key> = changed_rows.iter().map(|row| row.record.key()).collect();
+        changed.sort_unstable();
+        let is_pushed =
+            |row: &&Row| row.revision > after || changed.binary_search(&row.record.key()).is_ok();
+        let rows = self.catalog.rows().iter().filter(is_pushed).cloned().collect();
         self.push(after, rows, now_ms)
     }
 
--- a/crates/relay/tests/false_lapse.rs
+++ b/crates/relay/tests/false_lapse.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use catalog::{Digest, Key, Presence, Record, Row, TargetId};
-use relay::{Config, Heartbeat, Message, Relay, Role, RowBatch, Scope, StoreUpdate};
+use relay::{Config, Heartbeat, Message, Peer, Relay, Role, RowBatch, Scope, StoreUpdate};
 use routing::HostId;
 use support::target;
 
@@ -71,6 +71,22 @@
     assert_eq!(presence(&relay, 2), Some(Presence::Listed));
 }
 
+#[test]
+fn current_revision_elsewhere() {
+    let (mut relay, now_ms) = reader();
+    // Another host believes the report too, and does not read the store.
+    let (mut other, _) = reader();
+    report_lapsed(&mut relay, 2, REVISION, now_ms);
+    report_lapsed(&mut other, 2, REVISION, now_ms);
+    let address: SocketAddr = ([127, 0, 0, 1], 2).into();
+    relay.set_peers(vec![Peer { id: OTHER, address, domain_seed: 1 }]);
+    for outgoing in relay.on_store_update(full_listing(now_ms), now_ms) {
+        other.on_message(address, ME, outgoing.message, now_ms);
+    }
+    assert_eq!(presence(&other, 2), Some(Presence::Listed));
+    assert_eq!(relay.catalog().digest(), other.catalog().digest());
+}
+
 #[test]
 fn removed_stays() {
     let (mut relay, now_ms) = reader();
--- a/crates/wire/src/catalog_rows.rs
+++ b/crates/wire/src/catalog_rows.rs
@@ -83,7 +83,11 @@
 
 fn encode_row(mut out: row::Builder<'_>, row: &Row) {
     out.set_revision(row.revision);
-    out.set_presence(row.presence as u8);
+    out.set_presence(match row.presence {
+        Presence::Listed => 0,
+        Presence::Lapsed => 1,
+        Presence::Gone => 2,
+    });
     match &row.record {
         Record::Limits(limits) => out.set_idle_timeout_ms(limits.idle_timeout_ms),
         Record::Listener(listener) => encode_listener(out.init_listener(), listener),
