Remove what an earlier configuration of the same read added

Callers could still open flows to a listener 4 s after a configuration had dropped it. If a host read two configurations at once, and the first added the listener that the second dropped, only the catalog from before the read was compared with the second one, so the listener stayed.

What the settings of the same read with a lower revision contain is compared now too.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Key, Record, Row};
+use catalog::{Key, Record};
 use membership::{Member, MemberState, Membership};
 use relay::{Peer, Relay, StoreUpdate};
 use routing::HostId;
@@ -256,7 +256,8 @@
         self.relay.on_store_update(update, now_ms).into_iter().map(relay_message).collect()
     }
 
-    /// The catalog's listeners, services and limits that the settings in `item` no longer contain.
+    /// The listeners, services and limits that the settings in `item` no longer contain, of those in
+    /// the catalog or in settings that the same read returned.
     fn removed_settings(&self, item: &Item, listed: &[(u64, Record)]) -> Vec<(u64, Key)> {
         // Settings that cannot be decoded remove nothing.
         let kept: Vec<Key> = listed
@@ -267,12 +268,15 @@
         if kept.is_empty() {
             return Vec::new();
         }
-        let is_removed = |row: &&Row| {
-            let key = row.record.key();
-            !matches!(key, Key::Target(_)) && !kept.contains(&key)
-        };
-        let rows = self.relay.catalog().rows().iter().filter(is_removed);
-        rows.map(|row| (item.revision, row.record.key())).collect()
+        let in_catalog = self.relay.catalog().rows().iter().map(|row| row.record.key());
+        let earlier = listed.iter().filter(|(revision, _)| *revision < item.revision);
+        let mut removed: Vec<Key> = in_catalog
+            .chain(earlier.map(|(_, record)| record.key()))
+            .filter(|key| !matches!(key, Key::Target(_)) && !kept.contains(key))
+            .collect();
+        removed.sort_unstable();
+        removed.dedup();
+        removed.into_iter().map(|key| (item.revision, key)).collect()
     }
 
     fn peers(&self) -> impl Iterator<Item = &Member> {
