Apply a transfer of all rows only if its parts belong together

A host took a listener for gone, so it answered the listener's packets with resets, and later transfers at the same revision did not correct it. A part of a transfer of all rows had been lost and pulled again. In between, the sender had deleted a gone row, which changes neither its revision nor its digest but moves the other rows to other parts, so that the parts of both transfers together lacked a row.

A transfer of all rows is applied only if the digest of its rows is the one that it states. If it is not, the next heartbeat leads to another pull.

--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -6,6 +6,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Digest(pub u64);
 
+impl Digest {
+    /// Adds a row, or removes it if it was added before.
+    pub fn toggle(&mut self, row: &Row) {
+        self.0 ^= fingerprint(row);
+    }
+}
+
 /// Whether a record that a read of the store does not list is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Absence {
@@ -72,14 +79,15 @@
             Ok(position) if row.supersedes(&self.rows[position]) => {
                 let known = &mut self.rows[position];
                 let is_changed = known.presence != row.presence || known.record != row.record;
-                self.digest.0 ^= fingerprint(known) ^ fingerprint(&row);
+                self.digest.toggle(known);
+                self.digest.toggle(&row);
                 *known = row;
                 self.change_count += u64::from(is_changed);
                 is_changed
             }
             Ok(_) => false,
             Err(position) => {
-                self.digest.0 ^= fingerprint(&row);
+                self.digest.toggle(&row);
                 self.rows.insert(position, row);
                 self.change_count += 1;
                 true
@@ -120,11 +128,11 @@
 
     /// Deletes the rows for which `is_expired` returns true.
     pub fn purge(&mut self, is_expired: impl Fn(&Row) -> bool) {
-        let (digest, change_count) = (&mut self.digest.0, &mut self.change_count);
+        let (digest, change_count) = (&mut self.digest, &mut self.change_count);
         self.rows.retain(|row| {
             let keep = !is_expired(row);
             if !keep {
-                *digest ^= fingerprint(row);
+                digest.toggle(row);
                 *change_count += 1;
             }
             keep
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -397,7 +397,7 @@
         out
     }
 
-    /// Adds a part of a transfer. Returns whether the transfer is complete.
+    /// Adds a part of a transfer. Returns whether the transfer is complete and consistent.
     fn add_part(&mut self, sender: HostId, batch: &RowBatch, now_ms: u64) -> bool {
         // A push in a single part does not end a transfer that is still under way.
         let current = self.reassembly.take_if(|reassembly| reassembly.matches(sender, batch));
@@ -407,6 +407,9 @@
             self.reassembly = Some(reassembly);
             return false;
         }
+        if !reassembly.is_consistent() {
+            return false;
+        }
         if batch.scope == Scope::All {
             let mut keys = reassembly.keys;
             keys.sort_unstable();
