--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -6,6 +6,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Digest(pub u64);
 
+impl Digest {
+    /// Adds a row, or removes it if it was added before.
+    pub fn toggle(&mut self, row: &Row) {
+        self.0 ^= fingerprint(row);
+    }
+}
+
 /// Whether a record that a read of the store does not list is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Absence {
@@ -22,6 +29,7 @@
     revision: u64,
     digest: Digest,
     change_count: u64,
+    is_complete: bool,
 }
 
 impl Catalog {
@@ -35,11 +43,23 @@
         self.digest
     }
 
-    /// The number of row changes in this process, other than mere changes of revision.
+    /// The number of changes in this process, other than mere changes of revision.
     pub fn change_count(&self) -> u64 {
         self.change_count
     }
 
+    /// Whether the catalog contains every target that may still have flows. The store does not list
+    /// some of them, so a host that has just started has to learn of these from other hosts.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Records that the catalog contains every target that may still have flows.
+    pub fn mark_complete(&mut self) {
+        self.change_count += u64::from(!self.is_complete);
+        self.is_complete = true;
+    }
+
     /// The rows, sorted by key.
     pub fn rows(&self) -> &[Row] {
         &self.rows
@@ -59,14 +79,15 @@
             Ok(position) if row.supersedes(&self.rows[position]) => {
                 let known = &mut self.rows[position];
                 let is_changed = known.presence != row.presence || known.record != row.record;
-                self.digest.0 ^= fingerprint(known) ^ fingerprint(&row);
+                self.digest.toggle(known);
+                self.digest.toggle(&row);
                 *known = row;
                 self.change_count += u64::from(is_changed);
                 is_changed
             }
             Ok(_) => false,
             Err(position) => {
-                self.digest.0 ^= fingerprint(&row);
+                self.digest.toggle(&row);
                 self.rows.insert(position, row);
                 self.change_count += 1;
                 true
@@ -83,7 +104,7 @@
     /// Returns the changed rows.
     ///
     /// Only targets can lapse: they announce themselves repeatedly, while settings are written
-    /// once. Rows that changed after `revision` are left unchanged.
+    /// once. Rows that changed after `revision`, or that were listed at it, are left unchanged.
     pub fn mark_absent(
         &mut self,
         revision: u64,
@@ -96,7 +117,8 @@
                 (Absence::Provisional, Record::Target(_)) => Presence::Lapsed,
                 _ => Presence::Gone,
             };
-            if row.presence < presence && is_absent(row) {
+            let is_earlier = row.presence == Presence::Listed || row.presence < presence;
+            if is_earlier && is_absent(row) {
                 absent.push(Row { revision, presence, ..row.clone() });
             }
         }
@@ -106,11 +128,11 @@
 
     /// Deletes the rows for which `is_expired` returns true.
     pub fn purge(&mut self, is_expired: impl Fn(&Row) -> bool) {
-        let (digest, change_count) = (&mut self.digest.0, &mut self.change_count);
+        let (digest, change_count) = (&mut self.digest, &mut self.change_count);
         self.rows.retain(|row| {
             let keep = !is_expired(row);
             if !keep {
-                *digest ^= fingerprint(row);
+                digest.toggle(row);
                 *change_count += 1;
             }
             keep
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -313,9 +313,9 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
-    /// Resets the flow if the view is current enough to prove that the flow's target or listener is
-    /// gone. It may be too new for an older view to contain it, so the packet is dropped in that
-    /// case.
+    /// Resets the flow if the view proves that its target or listener is gone; otherwise drops the
+    /// packet. An older view may lack a new one, and the view of a host that has just started may lack
+    /// targets that the store does not list.
     fn refuse_unknown(
         &mut self,
         view: View<'_>,
@@ -325,7 +325,8 @@
     ) -> Verdict {
         let first_seen_ms = self.unknown_flows.first_seen_ms(segment.key, now_ms);
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
-        if confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms {
+        let is_current = confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms;
+        if is_current && (view.directory.is_complete || reason != Reason::UnknownTag) {
             return Verdict::Reset(reason);
         }
         Verdict::Drop(reason)
