--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,8 @@
 //! The relay state of one host.
 
 mod absence;
+mod history;
+mod placement;
 mod role;
 
 use std::net::SocketAddr;
@@ -9,6 +11,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use routing::HostId;
 
+use self::history::History;
 use crate::{
     Config, Heartbeat, Message, Outgoing, Peer, Pull, RowBatch, Scope,
     key_timestamps::KeyTimestamps, reassembly::Reassembly, store_health::StoreHealth,
@@ -62,6 +65,12 @@
     /// When this host last pulled rows that it lacks.
     last_pull_at_ms: Option<u64>,
     role: Role,
+    /// Whether this host became a reader because its catalog was stale, not because it had none.
+    has_taken_over: bool,
+    last_tick_at_ms: u64,
+    /// Since when the catalog has been old enough for peers to be polled, not counting pauses of the
+    /// process; `None` while it is not.
+    old_since_ms: Option<u64>,
     next_heartbeat_ms: u64,
     reassembly: Option<Reassembly>,
     store_health: StoreHealth,
@@ -70,6 +79,7 @@
     /// When targets lapsed, and when rows became gone.
     lapsed: KeyTimestamps,
     gone: KeyTimestamps,
+    history: History,
     rng: StdRng,
 }
 
@@ -89,12 +99,16 @@
             last_received_at_ms: None,
             last_pull_at_ms: None,
             role: Role::Listener,
+            has_taken_over: false,
+            last_tick_at_ms: now_ms,
+            old_since_ms: None,
             next_heartbeat_ms: 0,
             reassembly: None,
             store_health: StoreHealth::default(),
             needs_relist: false,
             lapsed: KeyTimestamps::default(),
             gone: KeyTimestamps::default(),
+            history: History::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -152,17 +166,22 @@
         }
         self.catalog.advance(revision);
         self.confirm(valid_at_ms, self.topology.me());
+        self.track_history(now_ms);
         self.track_absence(&changed_rows, now_ms);
-        self.role = self.decide_role(now_ms);
+        self.update_role(now_ms);
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         // At the first read every row is new to this host, so `changed_rows` says nothing about the
         // other hosts: they read the store as well or already know more.
         if changed_rows.is_empty() || after == 0 {
             return self.send_heartbeats(now_ms);
         }
-        // Not only `changed_rows`: rows that peers sent since the last read were merged already, so
-        // they are not among these, but have to be pushed too.
-        let rows = self.catalog.changed_after(after).cloned().collect();
+        // Rows that peers sent since the last read were merged already, so they are not among
+        // `changed_rows`. Of these, a corrected row may have the revision `after`.
+        let mut changed: Vec<Key> = changed_rows.iter().map(|row| row.record.key()).collect();
+        changed.sort_unstable();
+        let is_pushed =
+            |row: &&Row| row.revision > after || changed.binary_search(&row.record.key()).is_ok();
+        let rows = self.catalog.rows().iter().filter(is_pushed).cloned().collect();
         self.push(after, rows, now_ms)
     }
 
@@ -206,13 +225,16 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         self.purge_gone(now_ms);
         self.expire_lapsed(now_ms);
+        self.track_age(now_ms);
         let mut out = self.poll_peers_if_stale(now_ms);
-        self.role = self.decide_role(now_ms);
+        self.update_role(now_ms);
         if self.role == Role::Listener {
             // A host that does not read the store has no recent evidence that it is healthy.
             self.store_health.on_failure();
         }
         out.extend(self.resolve_lapsed(now_ms));
+        self.track_history(now_ms);
+        out.extend(self.pull_history(now_ms));
         if self.role == Role::Reader && now_ms >= self.next_heartbeat_ms {
             self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
             out.extend(self.send_heartbeats(now_ms));
@@ -294,6 +316,7 @@
             self.lower_rank_confirmed_at_ms = self.lower_rank_confirmed_at_ms.max(Some(at_ms));
         }
         self.confirm(at_ms, heartbeat.reader);
+        self.track_history(now_ms);
         let Some(next) = self.heartbeat(heartbeat.root, now_ms) else { return Vec::new() };
         self.send_to_children(heartbeat.root, &Message::Heartbeat(next))
     }
@@ -301,6 +324,10 @@
     /// Pulls rows unless some are already in transit: many hosts that pull a large change at once
     /// would saturate the links it crosses.
     fn pull_rows(&mut self, to: SocketAddr, scope: Scope, now_ms: u64) -> Vec<Outgoing> {
+        self.send_pull(to, self.pull_request(scope), now_ms)
+    }
+
+    fn send_pull(&mut self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
         let is_recent = |at_ms: u64| now_ms < at_ms + self.config.pull_timeout_ms;
         let is_receiving = self
             .reassembly
@@ -310,20 +337,34 @@
             return Vec::new();
         }
         self.last_pull_at_ms = Some(now_ms);
-        vec![Outgoing { to, message: Message::Pull(self.pull_request(scope)) }]
+        vec![Outgoing { to, message: Message::Pull(pull) }]
     }
 
     fn on_pull(&self, to: SocketAddr, pull: Pull, now_ms: u64) -> Vec<Outgoing> {
         let Some(heartbeat) = self.heartbeat(HostId(0), now_ms) else { return Vec::new() };
-        let has_changes = self.catalog.revision() > pull.revision || pull.scope == Scope::All;
-        if !has_changes || self.catalog.digest() == pull.digest {
+        let is_complete = self.catalog.is_complete();
+        let has_changes = match (pull.scope, pull.revision) {
+            // The host lacks rows that the store does not list, which no digest shows.
+            (Scope::All, 0) => is_complete,
+            (Scope::All, _) => self.catalog.digest() != pull.digest,
+            (Scope::Changes, revision) => {
+                self.catalog.revision() > revision && self.catalog.digest() != pull.digest
+            }
+        };
+        if !has_changes {
             return vec![Outgoing { to, message: Message::Heartbeat(heartbeat) }];
         }
-        let (scope, after) = match pull.scope {
-            Scope::All => (Scope::All, 0),
-            Scope::Changes => (Scope::Changes, pull.revision),
+        let (scope, after) = match (pull.scope, pull.revision) {
+            (Scope::All, _) | (Scope::Changes, 0) if !is_complete => {
+                (Scope::All, heartbeat.revision)
+            }
+            (Scope::All, _) => (Scope::All, 0),
+            (Scope::Changes, revision) => (Scope::Changes, revision),
+        };
+        let rows: Vec<Row> = match scope {
+            Scope::All => self.catalog.rows().to_vec(),
+            Scope::Changes => self.catalog.changed_after(after).cloned().collect(),
         };
-        let rows: Vec<Row> = self.catalog.changed_after(after).cloned().collect();
         self.batches(heartbeat, scope, after, &rows)
             .into_iter()
             .map(|message| Outgoing { to, message })
@@ -354,8 +395,11 @@
         if !self.add_part(sender, &batch, now_ms) {
             return out;
         }
+        if batch.after == 0 {
+            self.on_complete_history(batch.heartbeat.revision);
+        }
         // Rows after a gap do not advance the revision; `on_heartbeat` then pulls the missing ones.
-        if batch.after <= self.catalog.revision() {
+        if batch.scope == Scope::All || batch.after <= self.catalog.revision() {
             self.catalog.advance(batch.heartbeat.revision);
         }
         // The rows were forwarded already; their heartbeat is for this host alone.
@@ -364,15 +408,19 @@
         out
     }
 
-    /// Adds a part of a transfer. Returns whether the transfer is complete.
+    /// Adds a part of a transfer. Returns whether the transfer is complete and consistent.
     fn add_part(&mut self, sender: HostId, batch: &RowBatch, now_ms: u64) -> bool {
-        let current = self.reassembly.take().filter(|reassembly| reassembly.matches(sender, batch));
+        // A push in a single part does not end a transfer that is still under way.
+        let current = self.reassembly.take_if(|reassembly| reassembly.matches(sender, batch));
         let mut reassembly = current.unwrap_or_else(|| Reassembly::new(sender, batch));
         reassembly.last_part_at_ms = now_ms;
         if !reassembly.add(batch) {
             self.reassembly = Some(reassembly);
             return false;
         }
+        if !reassembly.is_consistent() {
+            return false;
+        }
         if batch.scope == Scope::All {
             let mut keys = reassembly.keys;
             keys.sort_unstable();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -55,6 +55,7 @@
 
 /// The hosts of all failure domains.
 pub struct Fleet {
+    config: Config,
     hosts: Vec<Host>,
     in_flight: Vec<Datagram>,
     rng: StdRng,
@@ -62,6 +63,8 @@
     pub groups: Vec<u32>,
     /// Percentage of messages that are lost.
     pub loss_percent: u32,
+    /// The time that messages wait in the receive queue of each host, in milliseconds.
+    pub queue_ms: Vec<u64>,
     pub store: Store,
     /// The records in the store, each with the revision at which it was written.
     listed: Vec<(u64, Record)>,
@@ -78,6 +81,12 @@
 impl Fleet {
     /// Creates `hosts` hosts, spread round-robin over `domains` failure domains.
     pub fn new(hosts: usize, domains: u64, seed: u64) -> Fleet {
+        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
+        Fleet::with_config(config, hosts, domains, seed)
+    }
+
+    /// Creates hosts with the timing and size limits of `config`.
+    pub fn with_config(config: Config, hosts: usize, domains: u64, seed: u64) -> Fleet {
         let peers: Vec<Peer> = (0..hosts)
             .map(|index| Peer {
                 id: HostId::from_address(address(index)),
@@ -88,8 +97,8 @@
         let hosts = peers
             .iter()
             .map(|me| {
-                let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
-                let mut relay = Relay::new(config, me.id, me.domain_seed, 0, me.id.0 ^ seed);
+                let mut relay =
+                    Relay::new(config.clone(), me.id, me.domain_seed, 0, me.id.0 ^ seed);
                 relay.set_peers(peers.iter().filter(|peer| peer.id != me.id).copied().collect());
                 Host {
                     id: me.id,
@@ -102,6 +111,8 @@
             .collect::<Vec<Host>>();
         Fleet {
             groups: vec![0; hosts.len()],
+            queue_ms: vec![0; hosts.len()],
+            config,
             hosts,
             in_flight: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -121,6 +132,14 @@
         self.listed.push((self.revision, target(id)));
     }
 
+    /// Announces that a target leaves.
+    pub fn announce_leaving(&mut self, id: u64) {
+        self.announce(id);
+        if let Some((_, Record::Target(target))) = self.listed.last_mut() {
+            target.stage = Stage::Draining;
+        }
+    }
+
     /// Removes the announcement of a target.
     pub fn remove(&mut self, id: u64) {
         self.revision += 1;
@@ -134,6 +153,19 @@
 
     /// Restarts a host with an empty catalog; it knows all its peers.
     pub fn restart(&mut self, index: usize) {
+        self.restart_alone(index);
+        self.find_peers(index);
+    }
+
+    /// Restarts a host with an empty catalog; it does not know any peers yet.
+    pub fn restart_alone(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        host.relay =
+            Relay::new(self.config.clone(), host.id, host.domain_seed, self.now_ms, host.id.0);
+    }
+
+    /// Makes a host know all its peers.
+    pub fn find_peers(&mut self, index: usize) {
         let peers: Vec<Peer> = (0..self.hosts.len())
             .filter(|other| *other != index)
             .map(|other| Peer {
@@ -142,10 +174,13 @@
                 domain_seed: self.hosts[other].domain_seed,
             })
             .collect();
-        let host = &mut self.hosts[index];
-        let config = Config { rows_per_batch: 3, fanout: 2, ..Config::default() };
-        host.relay = Relay::new(config, host.id, host.domain_seed, self.now_ms, host.id.0);
-        host.relay.set_peers(peers);
+        self.hosts[index].relay.set_peers(peers);
+    }
+
+    /// Makes a host ask another for its catalog, as hosts do when they start.
+    pub fn ask_seed(&mut self, index: usize, seed: usize) {
+        let outgoing = self.hosts[index].relay.pull_from(address(seed));
+        self.send(index, vec![outgoing]);
     }
 
     /// Limits the peers that each host knows to the hosts with the indices `known`.
@@ -190,6 +225,19 @@
         catalog.get(Key::Target(TargetId(id))).map(|row| row.presence)
     }
 
+    /// Whether a host may place new flows by its catalog.
+    pub fn can_place_flows(&self, index: usize) -> bool {
+        self.now_ms < self.hosts[index].relay.placement_until_ms()
+    }
+
+    /// Whether a host knows that a target leaves.
+    pub fn is_leaving(&self, index: usize, id: u64) -> bool {
+        let row = self.hosts[index].relay.catalog().get(Key::Target(TargetId(id)));
+        row.is_some_and(
+            |row| matches!(&row.record, Record::Target(target) if target.stage == Stage::Draining),
+        )
+    }
+
     /// Advances time by `duration_ms`, calling `observe` after every step.
     pub fn run(&mut self, duration_ms: u64, mut observe: impl FnMut(&Fleet)) {
         let end_ms = self.now_ms + duration_ms;
@@ -250,7 +298,8 @@
             }
             let copies = if self.rng.random_range(0..20) == 0 { 2 } else { 1 };
             for _ in 0..copies {
-                let due_ms = self.now_ms + self.rng.random_range(1..DELAY_MS);
+                let delay_ms = self.rng.random_range(1..DELAY_MS) + self.queue_ms[to];
+                let due_ms = self.now_ms + delay_ms;
                 let message = outgoing.message.clone();
                 self.in_flight.push(Datagram { due_ms, from, to, message });
             }
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -41,6 +41,9 @@
     pub directory: &'a Directory,
     /// The time since the directory was last confirmed to be current, in milliseconds.
     pub age_ms: u64,
+    /// Whether new flows may be placed by it. It may be too old for that until other hosts and the
+    /// store have been asked for a newer one.
+    pub can_place_flows: bool,
 }
 
 /// Decides, for one host, what to do with packets and targets.
@@ -82,7 +85,7 @@
     id: TargetId,
     domain_seed: u64,
     started_at_ms: u64,
-    is_gone: bool,
+    is_listed: bool,
 }
 
 /// The period after its start during which a target is slow.
@@ -205,12 +208,15 @@
     }
 
     fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
-        let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            return self.refuse_opening(view, Reason::NoListener, copy);
-        };
         if let Some(verdict) = self.forward_late_copy(view, segment, now_ms) {
             return verdict;
         }
+        if !view.can_place_flows {
+            return Verdict::Drop(Reason::StaleView);
+        }
+        let Some(listener) = view.directory.find_listener(segment.key.listener) else {
+            return self.refuse_opening(view, Reason::NoListener, copy);
+        };
         let earlier = self.openings.get(&segment.key);
         let mut tried: Vec<TargetId> = Vec::new();
         if let Some(opening) = earlier {
@@ -275,8 +281,11 @@
         let presence = view.directory.presence(index);
         self.openings.remove(&segment.key);
         if presence == Presence::Gone {
-            self.record_gone(target.id);
-            let is_dead = self.health.standing(target.id) == Standing::Dead;
+            let is_current = view.age_ms <= self.config.max_view_age_ms;
+            if is_current {
+                self.record_gone(target.id);
+            }
+            let is_dead = is_current && self.health.standing(target.id) == Standing::Dead;
             if is_dead || view.directory.is_replaced(index) {
                 self.remove_flow(segment);
                 return Verdict::Reset(Reason::TargetGone);
@@ -291,19 +300,22 @@
             };
         };
         self.update_flow(segment, listener, target.id, now_ms);
-        if self.health.standing(target.id) == Standing::Dead && segment.kind != SegmentKind::Abort {
+        let is_dead = self.health.standing(target.id) == Standing::Dead
+            && self.health.has_failed_recently(target.id, &self.config, now_ms);
+        if is_dead && segment.kind != SegmentKind::Abort {
             self.remove_flow(segment);
             return Verdict::Reset(Reason::TargetDead);
         }
+        self.health.recheck_expired(target.id, &self.config, now_ms);
         if segment.kind == SegmentKind::Abort {
             self.remove_flow(segment);
         }
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
-    /// Resets the flow if the view is current enough to prove that the flow's target or listener is
-    /// gone. It may be too new for an older view to contain it, so the packet is dropped in that
-    /// case.
+    /// Resets the flow if the view proves that its target or listener is gone; otherwise drops the
+    /// packet. An older view may lack a new one, and the view of a host that has just started may lack
+    /// targets that the store does not list.
     fn refuse_unknown(
         &mut self,
         view: View<'_>,
@@ -313,7 +325,8 @@
     ) -> Verdict {
         let first_seen_ms = self.unknown_flows.first_seen_ms(segment.key, now_ms);
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
-        if confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms {
+        let is_current = confirmed_at_ms >= first_seen_ms + self.config.unknown_flow_timeout_ms;
+        if is_current && (view.directory.is_complete || reason != Reason::UnknownTag) {
             return Verdict::Reset(reason);
         }
         Verdict::Drop(reason)
--- a/crates/tagged/tests/standing_causes.rs
+++ b/crates/tagged/tests/standing_causes.rs
@@ -64,7 +64,7 @@
         |host, _| {
             report_death(host);
             host.now_ms += 8_000;
-            let view = View { directory: &host.directory, age_ms: 100 };
+            let view = View { directory: &host.directory, age_ms: 100, can_place_flows: true };
             host.dispatcher.on_tick(view, host.now_ms);
         },
         &[
