Handle signals from the start of a host

A SIGHUP reached it before the control thread had registered its signals, and ended the process.

Signals are registered before the sockets are opened.

--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -104,8 +104,13 @@
     role_changes: (Sender<()>, Receiver<()>),
 }
 
+/// Registers the signals that a host handles. Until then a SIGHUP ends the process.
+pub(crate) fn register_signals() -> Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).wrap_err("signals cannot be received")
+}
+
 /// Runs until a planned stop has ended.
-pub(crate) fn run<P: Platform>(shared: &Arc<Shared>, path: &Path) -> Result<()> {
+pub(crate) fn run<P: Platform>(shared: &Arc<Shared>, path: &Path, signals: Signals) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(async {
         let address = shared.settings.peer_address;
@@ -136,7 +141,7 @@
         state.spawn(state.clone().poll_settings_file(path.to_owned()));
         state.send_all(state.with_core(|core| core.ask_seeds(&shared.settings.seeds())));
         state.spawn(state.clone().tick_forever());
-        state.wait_for_stop(path).await
+        state.wait_for_stop(path, signals).await
     }))
 }
 
@@ -380,9 +385,7 @@
         }
     }
 
-    async fn wait_for_stop(&self, path: &Path) -> Result<()> {
-        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
-            .wrap_err("signals cannot be received")?;
+    async fn wait_for_stop(&self, path: &Path, mut signals: Signals) -> Result<()> {
         loop {
             match signals.next().await {
                 Some(Ok(Signal::Hup)) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 ///
 /// Fails if a socket cannot be opened or a thread ends unexpectedly.
 pub fn run<P: Platform>(path: &Path, settings: EdgeSettings) -> Result<()> {
+    let signals = control_thread::register_signals()?;
     let shared = Shared::new(settings)?;
     telemetry::emit(
         Event::Started,
@@ -56,7 +57,7 @@
             .spawn(move || data.run())
             .wrap_err("the data thread cannot be started")?
     };
-    let result = control_thread::run::<P>(&shared, path);
+    let result = control_thread::run::<P>(&shared, path, signals);
     shared.request_exit();
     data.join().map_err(|_| eyre!("the data thread failed"))??;
     telemetry::emit(Event::Stopped, &[]);
--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -59,8 +59,7 @@
     check(234, 12);
 }
 
-/// A host that was killed and started again with all others wrote no log line and did not become
-/// ready. Seen once; the cause is not known.
+/// A host that had just been started got a SIGHUP before it could handle one, which ended it.
 #[test]
 fn seed_635() {
     check(635, 12);
