Split the protocol state of membership and the health of targets by job

The settings, the messages and the handling of reports of membership, and the health record of one target, are files of their own. Code moved unchanged.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,12 +10,16 @@
 //!
 //! Architecture Invariant: no I/O, no clock. Messages and a time go in, messages come out.
 
+mod config;
 mod member;
+mod message;
 mod probing;
 mod table;
 
 pub use crate::{
+    config::Config,
     member::{Member, MemberState},
-    probing::{Config, Membership, Outgoing, Probe, ProbeKind},
+    message::{Outgoing, Probe, ProbeKind},
+    probing::Membership,
     table::Table,
 };
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -1,96 +1,13 @@
 //! The SWIM protocol: probes, acks, and the suspicion that follows a missing ack.
 
+mod reports;
+
 use std::net::SocketAddr;
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use routing::HostId;
 
-use crate::{Member, MemberState, Table};
-
-/// Timing and size limits of the protocol.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Config {
-    /// How often this host probes another one, in milliseconds.
-    pub probe_interval_ms: u64,
-    /// How long a direct ack may take before indirect probes are sent, in milliseconds.
-    pub ack_timeout_ms: u64,
-    /// How many hosts are asked to probe on this host's behalf.
-    pub indirect_probes: usize,
-    /// How long a suspected host has to refute the suspicion, in milliseconds.
-    pub suspicion_ms: u64,
-    /// The maximum number of gossiped reports per message.
-    pub members_per_message: usize,
-    /// The maximum number of reports per ack to a join, or to a ping from an unknown host.
-    pub members_per_join_ack: usize,
-    /// How long a host requests all members from others after it changes its state, in
-    /// milliseconds.
-    pub member_sync_ms: u64,
-    /// How long a host that left or died is kept in the table, in milliseconds.
-    pub dead_retention_ms: u64,
-}
-
-impl Default for Config {
-    fn default() -> Config {
-        Config {
-            probe_interval_ms: 400,
-            ack_timeout_ms: 120,
-            indirect_probes: 3,
-            suspicion_ms: 1_000,
-            members_per_message: 12,
-            members_per_join_ack: 12,
-            member_sync_ms: 3_000,
-            dead_retention_ms: 60 * 60 * 1000,
-        }
-    }
-}
-
-/// The type of a probe message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
-pub enum ProbeKind {
-    /// Answer with [`ProbeKind::Ack`].
-    Ping = 0,
-    /// The subject is alive.
-    Ack = 1,
-    /// Probe the subject on the sender's behalf.
-    PingRequest = 2,
-    /// Answer with [`ProbeKind::Ack`]s that carry all members.
-    Join = 3,
-}
-
-impl ProbeKind {
-    const ALL: [ProbeKind; 4] =
-        [ProbeKind::Ping, ProbeKind::Ack, ProbeKind::PingRequest, ProbeKind::Join];
-
-    /// The kind with this number.
-    pub fn from_number(number: u8) -> Option<ProbeKind> {
-        ProbeKind::ALL.get(usize::from(number)).copied()
-    }
-}
-
-/// A message of the protocol.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Probe {
-    /// The type of the message.
-    pub kind: ProbeKind,
-    /// Matches an ack to its probe.
-    pub sequence: u64,
-    /// The host that a probe or an ack is about.
-    pub subject: HostId,
-    /// The settings revision in force on the sender.
-    pub revision: u64,
-    /// Gossiped reports, starting with the sender's report about itself.
-    pub members: Vec<Member>,
-}
-
-/// A message to send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Outgoing {
-    /// The receiver's peer address.
-    pub to: SocketAddr,
-    /// The message.
-    pub probe: Probe,
-}
+use crate::{Config, Member, MemberState, Outgoing, Probe, ProbeKind, Table};
 
 /// The direct probe of the current interval.
 #[derive(Debug)]
@@ -279,26 +196,6 @@
         out.push(Outgoing { to: address, probe });
     }
 
-    /// Acks that carry every known host, in as many messages as needed.
-    fn all_members(&self, to: SocketAddr, probe: &Probe, revision: u64) -> Vec<Outgoing> {
-        let others: Vec<Member> =
-            self.table.members().filter(|member| member.id != self.me.id).copied().collect();
-        let mut messages = Vec::new();
-        let mut rest = others.as_slice();
-        loop {
-            let (part, next) = rest.split_at(rest.len().min(self.config.members_per_join_ack));
-            let mut members = vec![self.me];
-            members.extend_from_slice(part);
-            let (sequence, subject) = (probe.sequence, self.me.id);
-            let probe = Probe { kind: ProbeKind::Ack, sequence, subject, revision, members };
-            messages.push(Outgoing { to, probe });
-            rest = next;
-            if rest.is_empty() {
-                return messages;
-            }
-        }
-    }
-
     // Hosts that know different members disagree about homes and openers, so a joining host
     // requests all members before it serves, and for a while after, to learn of later changes.
     fn request_members(&mut self, now_ms: u64, revision: u64, out: &mut Vec<Outgoing>) {
@@ -316,85 +213,6 @@
         out.push(Outgoing { to: peer.address, probe });
     }
 
-    /// An ack with a random part of the table, for a host that was not in it before.
-    fn new_peer_ack(&mut self, to: SocketAddr, probe: &Probe, revision: u64) -> Outgoing {
-        let mut members: Vec<Member> = self.table.members().copied().collect();
-        members.shuffle(&mut self.rng);
-        members.retain(|member| member.id != self.me.id);
-        members.truncate(self.config.members_per_join_ack);
-        members.insert(0, self.me);
-        let sequence = probe.sequence;
-        let subject = self.me.id;
-        Outgoing { to, probe: Probe { kind: ProbeKind::Ack, sequence, subject, revision, members } }
-    }
-
-    // Adds the record of a suspect or dead member. A host that receives its own record refutes it.
-    fn add_report_about(&self, id: Option<HostId>, probe: &mut Probe) {
-        let Some(member) = id.and_then(|id| self.table.get(id)) else { return };
-        let is_listed = probe.members.iter().any(|listed| listed.id == member.id);
-        if !is_listed && (member.state.is_suspect() || !member.state.is_alive()) {
-            probe.members.push(*member);
-        }
-    }
-
-    fn merge(&mut self, member: Member, now_ms: u64) {
-        if member.id == self.me.id {
-            self.refute(member, now_ms);
-            return;
-        }
-        let gossip_left = self.gossip_count();
-        if self.table.merge(member, now_ms, gossip_left) {
-            self.version += 1;
-        }
-    }
-
-    /// Increments the incarnation if a report about this host is newer than its own.
-    fn refute(&mut self, report: Member, now_ms: u64) {
-        let is_own = report.incarnation == self.me.incarnation && report.state == self.me.state;
-        if is_own || !report.supersedes(&self.me) {
-            return;
-        }
-        self.me.incarnation = report.incarnation + 1;
-        self.announce(now_ms);
-    }
-
-    /// Stores this host's own report in the table, from which it is gossiped.
-    fn announce(&mut self, now_ms: u64) {
-        let gossip_left = self.gossip_count();
-        self.table.merge(self.me, now_ms, gossip_left);
-        self.version += 1;
-    }
-
-    /// How many times a report is gossiped: about twice the binary logarithm of the number of
-    /// hosts, so that it very likely reaches all of them.
-    fn gossip_count(&self) -> u32 {
-        let hosts = self.table.rows.len() as u32 + 1;
-        2 * (u32::BITS - hosts.leading_zeros())
-    }
-
-    fn expire(&mut self, now_ms: u64) {
-        self.relayed_probes.retain(|relay| relay.expires_at_ms > now_ms);
-        let gossip_left = self.gossip_count();
-        let mut changed = false;
-        for row in &mut self.table.rows {
-            let age_ms = now_ms.saturating_sub(row.changed_at_ms);
-            if row.member.state.is_suspect() && age_ms >= self.config.suspicion_ms {
-                row.member.state = MemberState::Dead;
-                row.changed_at_ms = now_ms;
-                row.gossip_left = gossip_left;
-                changed = true;
-            }
-        }
-        let dead_retention_ms = self.config.dead_retention_ms;
-        self.table.rows.retain(|row| {
-            let age_ms = now_ms.saturating_sub(row.changed_at_ms);
-            row.member.state.is_alive() || age_ms < dead_retention_ms
-        });
-        if changed {
-            self.version += 1;
-        }
-    }
-
     fn send_indirect_probes(&mut self, now_ms: u64, revision: u64, out: &mut Vec<Outgoing>) {
         let Some(pending) = &self.pending_probe else { return };
         let is_late = now_ms >= pending.started_at_ms + self.config.ack_timeout_ms;
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -19,18 +19,13 @@
 //! listed when the connection returns, although they serve. A target that is not listed is checked
 //! like a silent one and keeps its flows as long as it answers.
 
+mod record;
+
 use catalog::TargetId;
 
+use self::record::Record;
 use crate::Config;
 
-/// How many unanswered openings without progress in between make a target suspect.
-const SUSPECT_FAILED_OPENINGS: u32 = 1;
-
-/// How many stalled flows without progress in between make a target suspect. The first one only
-/// triggers a check, because an answer may well take longer than the caller's retransmission
-/// timeout.
-const SUSPECT_STALLED_FLOWS: u32 = 2;
-
 /// A target's health as judged by this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -63,39 +58,6 @@
     pub reference: Option<TargetId>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Record {
-    target: TargetId,
-    standing: Standing,
-    /// When the suspicion expires.
-    suspect_until_ms: u64,
-    progress_at_ms: u64,
-    checked_at_ms: u64,
-    /// When the target last answered a check.
-    answered_at_ms: u64,
-    /// The start of the last check of this host that the target failed; none after a sign of life.
-    failed_at_ms: Option<u64>,
-    /// When to check the target again without new evidence.
-    next_check_ms: Option<u64>,
-    /// The start of the check in flight.
-    check_in_flight_ms: Option<u64>,
-    /// Checks that began earlier concern an earlier start of the target.
-    new_start_at_ms: u64,
-    failed_openings: u32,
-    stalled_flows: u32,
-    is_check_due: bool,
-    /// Whether the store no longer lists the target.
-    is_gone: bool,
-    /// When this host or another first found it dead; none after a sign of life.
-    died_at_ms: Option<u64>,
-    /// When the store last showed that it is alive after all.
-    confirmed_alive_at_ms: Option<u64>,
-    /// How long it was last given no new flows because it seemed full.
-    full_backoff_ms: u64,
-    /// The delay between a failed check and the next one.
-    recheck_delay_ms: u64,
-}
-
 /// The health of all targets. A target without a record is good.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -422,83 +384,3 @@
         self.records.binary_search_by_key(&target, |record| record.target)
     }
 }
-
-impl Record {
-    fn new(target: TargetId) -> Record {
-        Record {
-            target,
-            standing: Standing::Good,
-            suspect_until_ms: 0,
-            progress_at_ms: 0,
-            checked_at_ms: 0,
-            answered_at_ms: 0,
-            failed_at_ms: None,
-            next_check_ms: None,
-            check_in_flight_ms: None,
-            new_start_at_ms: 0,
-            failed_openings: 0,
-            stalled_flows: 0,
-            is_check_due: false,
-            is_gone: false,
-            died_at_ms: None,
-            confirmed_alive_at_ms: None,
-            full_backoff_ms: 0,
-            recheck_delay_ms: 0,
-        }
-    }
-
-    /// Whether the target answered a check so recently that another would reveal nothing new.
-    fn has_answered_recently(&self, config: &Config, now_ms: u64) -> bool {
-        self.answered_at_ms > 0 && now_ms < self.answered_at_ms + config.check_interval_ms
-    }
-
-    /// Whether the target has failed a check and answered none since.
-    fn is_unreachable(&self) -> bool {
-        self.failed_at_ms.is_some_and(|at_ms| self.answered_at_ms < at_ms)
-    }
-
-    /// Whether a check is due without new evidence. A dead target that the store no longer lists is
-    /// not checked again.
-    fn is_recheck_due(&self, now_ms: u64) -> bool {
-        let is_final = self.is_gone && self.standing == Standing::Dead;
-        !is_final && self.next_check_ms.is_some_and(|at_ms| now_ms >= at_ms)
-    }
-
-    /// Whether a check is in flight. A verdict that has not come by the next interval is lost.
-    fn is_check_in_flight(&self, config: &Config, now_ms: u64) -> bool {
-        self.check_in_flight_ms.is_some_and(|at_ms| now_ms < at_ms + config.check_interval_ms)
-    }
-
-    /// Whether the last check failed so recently that flows may be reset because of it.
-    fn has_failed_recently(&self, config: &Config, now_ms: u64) -> bool {
-        self.failed_at_ms.is_some_and(|at_ms| now_ms < at_ms + config.verdict_ttl_ms)
-    }
-
-    /// Makes a good target suspect if the evidence suffices. Returns whether the standing changed.
-    fn update_suspicion(&mut self, config: &Config, now_ms: u64) -> bool {
-        let is_enough = self.failed_openings >= SUSPECT_FAILED_OPENINGS
-            || self.stalled_flows >= SUSPECT_STALLED_FLOWS;
-        if !is_enough || self.standing != Standing::Good {
-            return false;
-        }
-        // A target that answers checks but not openings is full. It gets no new flows for a short
-        // time, which doubles with each repetition.
-        let is_full = self.has_answered_recently(config, now_ms);
-        self.is_check_due |= !is_full;
-        if is_full {
-            self.full_backoff_ms = (2 * self.full_backoff_ms)
-                .clamp(config.initial_full_backoff_ms, config.suspicion_timeout_ms);
-        }
-        self.suspect_until_ms =
-            now_ms + if is_full { self.full_backoff_ms } else { config.suspicion_timeout_ms };
-        self.set_standing(Standing::Suspect)
-    }
-
-    fn set_standing(&mut self, standing: Standing) -> bool {
-        if self.standing == standing {
-            return false;
-        }
-        self.standing = standing;
-        true
-    }
-}
