Read the age of the directory before the directory

The data thread read the directory first and the time of its confirmation afterwards. If the control thread published a new directory in between, the old one was taken for as current as the new one, and a reset could rest on it. The window is microseconds wide, so there is no test; found by reading.

--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -215,7 +215,7 @@
 
     /// Publishes the times that apply to the published directory.
     fn publish_times(&self, relay: &Relay, confirmed_at_ms: u64) {
-        self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Relaxed);
+        self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Release);
         self.shared.placement_until_ms.store(relay.placement_until_ms(), Ordering::Release);
     }
 
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -51,6 +51,8 @@
     /// The time between a request and its answer, by listener and kind of request.
     answer_wait: Histogram,
     directory: Option<Arc<Directory>>,
+    /// When `directory` was last confirmed as current, by the monotonic clock.
+    confirmed_at_ms: u64,
     /// Until when new flows may be placed by `directory`, by the monotonic clock.
     placement_until_ms: u64,
     pending: Vec<PendingPacket>,
@@ -76,6 +78,7 @@
             answer_wait,
             dispatcher,
             directory: None,
+            confirmed_at_ms: 0,
             placement_until_ms: 0,
             pending: Vec::new(),
             send_buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
@@ -155,16 +158,16 @@
     }
 
     fn view<'a>(&self, directory: &'a Directory, now_ms: u64) -> View<'a> {
-        let confirmed_at_ms = self.shared.confirmed_at_ms.load(Ordering::Relaxed);
         View {
             directory,
-            age_ms: now_ms.saturating_sub(confirmed_at_ms),
+            age_ms: now_ms.saturating_sub(self.confirmed_at_ms),
             can_place_flows: now_ms < self.placement_until_ms,
         }
     }
 
     fn update_directory(&mut self, now_ms: u64) {
-        // Read before the directory, so that it never applies to an older one.
+        // Read before the directory, so that they never apply to an older one.
+        self.confirmed_at_ms = self.shared.confirmed_at_ms.load(Ordering::Acquire);
         self.placement_until_ms = self.shared.placement_until_ms.load(Ordering::Acquire);
         let published = self.shared.directory.load();
         let is_same = match (&self.directory, &*published) {
