--- a/crates/tagged/tests/relisted_target.rs
+++ b/crates/tagged/tests/relisted_target.rs
@@ -7,7 +7,7 @@
 
 use catalog::{FlowTag, Presence, Record, Row, TargetId};
 use support::{Host, NEAR, data, rows};
-use tagged::{CheckVerdict, Verdict};
+use tagged::Verdict;
 
 const TARGET: TargetId = TargetId(1);
 
@@ -21,12 +21,7 @@
 
 /// A host that found the target dead and unlisted 20 s before the store lists it again.
 fn host_after_return() -> (Host, FlowTag) {
-    let mut host = Host::new(&[(1, NEAR)]);
-    let tag = host.open(0, 0).1;
-    host.send(&data(0, tag, 100, 50));
-    host.now_ms += 400;
-    let now_ms = host.now_ms;
-    host.dispatcher.on_check(TARGET, CheckVerdict::Failed, now_ms, now_ms);
+    let (mut host, tag) = Host::after_failed_check();
     host.now_ms += 3_000;
     host.due_checks();
     host.send(&data(2, tag, 100, 50));
--- a/crates/tagged/tests/stale_absence.rs
+++ b/crates/tagged/tests/stale_absence.rs
@@ -13,12 +13,7 @@
 
 #[test]
 fn old_view() {
-    let mut host = Host::new(&[(1, NEAR)]);
-    let tag = host.open(0, 0).1;
-    host.send(&data(0, tag, 100, 50));
-    host.now_ms += 400;
-    let now_ms = host.now_ms;
-    host.dispatcher.on_check(TARGET, CheckVerdict::Failed, now_ms, now_ms);
+    let (mut host, tag) = Host::after_failed_check();
     host.now_ms += 1_000;
     // Flows that come here are reset, so that this host has none when the target is unlisted.
     let unlisted = rows(&[(1, NEAR)]).into_iter().map(|row| match row.record {
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -7,7 +7,7 @@
     Catalog, Directory, FlowTag, Limits, Listener, Presence, Record, RequestKind, Row, Share,
     Stage, Target, TargetId,
 };
-use tagged::{Config, Dispatcher, FlowKey, Segment, SegmentKind, Verdict, View};
+use tagged::{CheckVerdict, Config, Dispatcher, FlowKey, Segment, SegmentKind, Verdict, View};
 
 /// The failure domain of the host under test.
 pub const NEAR: u64 = 1;
@@ -94,6 +94,18 @@
         }
     }
 
+    /// A host with an open flow to its only target, which has just failed a check. Returns the
+    /// target's tag too.
+    pub fn after_failed_check() -> (Host, FlowTag) {
+        let mut host = Host::new(&[(1, NEAR)]);
+        let tag = host.open(0, 0).1;
+        host.send(&data(0, tag, 100, 50));
+        host.now_ms += 400;
+        let now_ms = host.now_ms;
+        host.dispatcher.on_check(TargetId(1), CheckVerdict::Failed, now_ms, now_ms);
+        (host, tag)
+    }
+
     /// Replaces the directory.
     pub fn set_rows(&mut self, rows: Vec<Row>) {
         self.directory = directory(rows);
