--- a/crates/edge/src/checks.rs
+++ b/crates/edge/src/checks.rs
@@ -27,8 +27,8 @@
 /// Several round trips, but short, since callers wait for the result.
 const ATTEMPT_DELAY_MS: u64 = 30;
 
-/// Connects to a suspected target and, at the same time, to a reference target. If neither accepts, the fault may be this host's or its link's, and the verdict is
-/// unclear.
+/// Connects to a suspected target and, at the same time, to a reference target. If neither accepts,
+/// the fault may be this host's or its link's, and the verdict is unclear.
 pub(crate) async fn check_target(state: State, due: DueCheck) {
     let started_at_ms = clock::now_ms();
     let reference = async {
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -314,7 +314,7 @@
     }
 
     /// Resets the flow if the view proves that its target or listener is gone; otherwise drops the
-    /// packet. An older view may lack a new one, and the view of a host that has just started may lack
+    /// packet. An older view may lack a new one, and that of a host that has just started may lack
     /// targets that the store does not list.
     fn refuse_unknown(
         &mut self,
--- a/crates/tagged/src/health/record.rs
+++ b/crates/tagged/src/health/record.rs
@@ -24,7 +24,7 @@
     pub(super) checked_at_ms: u64,
     /// When the target last answered a check.
     pub(super) answered_at_ms: u64,
-    /// The start of the last check of this host that the target failed; none after a sign of life.
+    /// When the last failed check began; none after a sign of life.
     pub(super) failed_at_ms: Option<u64>,
     /// When to check the target again without new evidence.
     pub(super) next_check_ms: Option<u64>,
