Reproduce the collapse of transfers after large changes

The tests add 1,400 routes twice while targets leave, over simulated links of 10 Mbit/s with queues of 208 KiB.

--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,13 +1,18 @@
 //! A simulated store, and hosts on a simulated network with message loss, delay and partitions.
 #![allow(dead_code, reason = "each test file uses a subset")]
 
-use std::net::SocketAddr;
+mod link;
 
-use catalog::{Key, Presence, Record, Stage, Target, TargetId};
+use std::net::{SocketAddr, SocketAddrV4};
+
+use catalog::{Key, Listener, Presence, Record, RequestKind, Share, Stage, Target, TargetId};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use relay::{Config, Message, Outgoing, Peer, Relay, Role, StoreUpdate};
 use routing::HostId;
 
+pub use self::link::LinkConfig;
+use self::link::{Link, datagram_bytes};
+
 /// Simulated time per step, in milliseconds.
 const STEP_MS: u64 = 20;
 
@@ -31,6 +36,18 @@
     })
 }
 
+/// The listener on this port, whose flows go to the service `service_seed`.
+pub fn listener(port: u16, service_seed: u64) -> Record {
+    Record::Listener(Listener {
+        address: SocketAddrV4::new([198, 18, 0, 1].into(), port),
+        shares: vec![Share { service_seed, weight: 1 }],
+        kind: RequestKind::Idempotent,
+        priority: 1,
+        aim_ms: 250,
+        timeout_ms: 1_500,
+    })
+}
+
 /// Whether the store is available.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Store {
@@ -44,6 +61,8 @@
     relay: Relay,
     next_read_ms: u64,
     is_paused: bool,
+    /// The host's link in each direction; without one, messages take a random time.
+    links: Option<(Link, Link)>,
 }
 
 struct Datagram {
@@ -72,6 +91,8 @@
     pub now_ms: u64,
     /// Number of reads of the store by all hosts, failed ones included.
     pub reads: usize,
+    /// The bytes of all datagrams that hosts sent, lost ones included.
+    pub sent_bytes: u64,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -106,6 +127,7 @@
                     relay,
                     next_read_ms: 0,
                     is_paused: false,
+                    links: None,
                 }
             })
             .collect::<Vec<Host>>();
@@ -122,9 +144,24 @@
             revision: 1,
             now_ms: 0,
             reads: 0,
+            sent_bytes: 0,
         }
     }
 
+    /// Connects each host by links with the limits of `config`.
+    pub fn limit_links(&mut self, config: LinkConfig) {
+        for host in &mut self.hosts {
+            host.links = Some((Link::new(config), Link::new(config)));
+        }
+    }
+
+    /// Writes the settings, which replace all earlier ones.
+    pub fn write_settings(&mut self, settings: &[Record]) {
+        self.revision += 1;
+        self.listed.retain(|entry| matches!(entry.1, Record::Target(_)));
+        self.listed.extend(settings.iter().map(|record| (self.revision, record.clone())));
+    }
+
     /// Writes the announcement of a target.
     pub fn announce(&mut self, id: u64) {
         self.revision += 1;
@@ -230,6 +267,12 @@
         self.now_ms < self.hosts[index].relay.placement_until_ms()
     }
 
+    /// Whether a host knows a record as it is.
+    pub fn knows(&self, index: usize, record: &Record) -> bool {
+        let row = self.hosts[index].relay.catalog().get(record.key());
+        row.is_some_and(|row| row.presence == Presence::Listed && row.record == *record)
+    }
+
     /// Whether a host knows that a target leaves.
     pub fn is_leaving(&self, index: usize, id: u64) -> bool {
         let row = self.hosts[index].relay.catalog().get(Key::Target(TargetId(id)));
@@ -296,6 +339,14 @@
             if is_lost || self.groups[from] != self.groups[to] {
                 continue;
             }
+            let bytes = datagram_bytes(&outgoing.message);
+            self.sent_bytes += bytes;
+            if self.hosts[from].links.is_some() {
+                let Some(due_ms) = self.transmit(from, to, bytes) else { continue };
+                let message = outgoing.message;
+                self.in_flight.push(Datagram { due_ms, from, to, message });
+                continue;
+            }
             let copies = if self.rng.random_range(0..20) == 0 { 2 } else { 1 };
             for _ in 0..copies {
                 let delay_ms = self.rng.random_range(1..DELAY_MS) + self.queue_ms[to];
@@ -306,6 +357,15 @@
         }
     }
 
+    /// When a datagram arrives over the links of both hosts; `None` if a queue is full.
+    fn transmit(&mut self, from: usize, to: usize, bytes: u64) -> Option<u64> {
+        let (out, _) = self.hosts[from].links.as_mut()?;
+        let left_at_us = out.transmit(self.now_ms * 1_000, bytes)?;
+        let (_, link) = self.hosts[to].links.as_mut()?;
+        let arrived_at_us = link.transmit(left_at_us, bytes)?;
+        Some(arrived_at_us.div_ceil(1_000) + self.queue_ms[to])
+    }
+
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
         let (due, rest): (Vec<Datagram>, Vec<Datagram>) = std::mem::take(&mut self.in_flight)
