Give rows that lapsed for a peer time to reappear

A reader took targets for gone that had lapsed for another host only: that host had seen the store recover, or had started while nothing was announced, and this reader's own calls had all succeeded. Flows to such targets are reset. Until now a pause of 300 ms between two pulls hid it mostly.

A host that has just started no longer answers with the changes since a revision that it never had, since it does not know which rows were removed; it answers with all its rows.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -354,12 +354,13 @@
         if !has_changes {
             return vec![Outgoing { to, message: Message::Heartbeat(heartbeat) }];
         }
+        // A host that has just started does not know which rows were removed before.
         let (scope, after) = match (pull.scope, pull.revision) {
-            (Scope::All, _) | (Scope::Changes, 0) if !is_complete => {
-                (Scope::All, heartbeat.revision)
+            (Scope::Changes, revision) if self.knows_changes_after(revision) => {
+                (Scope::Changes, revision)
             }
-            (Scope::All, _) => (Scope::All, 0),
-            (Scope::Changes, revision) => (Scope::Changes, revision),
+            _ if is_complete => (Scope::All, 0),
+            _ => (Scope::All, heartbeat.revision),
         };
         let rows: Vec<Row> = match scope {
             Scope::All => self.catalog.rows().to_vec(),
@@ -389,9 +390,7 @@
             let next = RowBatch { heartbeat, ..batch.clone() };
             out.extend(self.send_to_children(root, &Message::Rows(next)));
         }
-        let is_absent = |row: &Row| row.presence != Presence::Listed;
-        self.needs_relist |= self.role == Role::Reader && changed_rows.iter().any(is_absent);
-        self.track_absence(&changed_rows, now_ms);
+        self.on_absence_from_peer(&changed_rows, now_ms);
         if !self.add_part(sender, &batch, now_ms) {
             return out;
         }
@@ -429,7 +428,7 @@
             let changed_rows = self.catalog.mark_absent(revision, Absence::Provisional, |row| {
                 keys.binary_search(&row.record.key()).is_err()
             });
-            self.track_absence(&changed_rows, now_ms);
+            self.on_absence_from_peer(&changed_rows, now_ms);
         }
         true
     }
--- a/crates/relay/src/relay/absence.rs
+++ b/crates/relay/src/relay/absence.rs
@@ -2,7 +2,7 @@
 
 use catalog::{Absence, Key, Presence, Row};
 
-use super::Relay;
+use super::{Relay, Role};
 
 impl Relay {
     /// Updates the times at which rows lapsed or became gone.
@@ -23,6 +23,17 @@
         self.gone.add(keys_with(Presence::Gone), now_ms);
     }
 
+    /// Updates these times for rows of a peer. What lapsed for the peer may reappear, however long
+    /// this host's own reads have succeeded.
+    pub(super) fn on_absence_from_peer(&mut self, changed_rows: &[Row], now_ms: u64) {
+        if changed_rows.iter().any(|row| row.presence == Presence::Lapsed) {
+            self.store_health.on_failure();
+        }
+        let is_absent = |row: &Row| row.presence != Presence::Listed;
+        self.needs_relist |= self.role == Role::Reader && changed_rows.iter().any(is_absent);
+        self.track_absence(changed_rows, now_ms);
+    }
+
     /// Marks targets as gone that lapsed long before the catalog was last known to be current: the
     /// reader's update may have been lost, or the reader never knew them.
     pub(super) fn expire_lapsed(&mut self, now_ms: u64) {
--- a/crates/relay/src/relay/history.rs
+++ b/crates/relay/src/relay/history.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Whether this host knows every change after `revision`, removals included.
+    pub(super) fn knows_changes_after(&self, revision: u64) -> bool {
+        let first_revision = self.history.first_revision;
+        self.catalog.is_complete() || first_revision.is_some_and(|first| revision >= first)
+    }
+
     /// Handles the end of a transfer of all changes up to `revision`.
     pub(super) fn on_complete_history(&mut self, revision: u64) {
         // After an earlier revision, a target may have come and vanished before this host's first.
--- a/crates/relay/tests/false_lapse.rs
+++ b/crates/relay/tests/false_lapse.rs
@@ -101,3 +101,20 @@
     relay.on_store_update(update, now_ms);
     assert_ne!(presence(&relay, 2), Some(Presence::Listed));
 }
+
+#[test]
+fn lapsed_for_peer() {
+    let (mut relay, now_ms) = reader();
+    report_lapsed(&mut relay, 2, REVISION, now_ms);
+    // The peer saw the store recover just now, so the target may announce itself again for a while,
+    // although this host's own calls have all succeeded.
+    for step in 1..=15 {
+        let now_ms = now_ms + step * 100;
+        relay.tick(now_ms);
+        let listed = vec![(21, target(1)), (23, target(3))];
+        let removed = vec![(REVISION, Key::Target(TargetId(2)))];
+        let update = StoreUpdate { revision: REVISION, listed, removed, valid_at_ms: now_ms };
+        relay.on_store_update(update, now_ms);
+        assert_ne!(presence(&relay, 2), Some(Presence::Gone), "{} ms later", step * 100);
+    }
+}
