Send settings to other hosts only if they have changed

Cause: the settings are one entry of the store, so each write gave all their rows a new revision, and every host was sent all of them, 2,840 routes because of one. Above a size that depends on the links no transfer came through whole, and all were pulled again without end.

A row that the store lists again with the same content now keeps the revision of its content, by which other hosts are sent rows. Rows of another host count as changed, since it saw a change.

--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     rows: Vec<Row>,
+    /// For each row, the revision after which other hosts may lack its content.
+    content_revisions: Vec<u64>,
     revision: u64,
     digest: Digest,
     change_count: u64,
@@ -70,17 +72,32 @@
         self.position(key).ok().map(|position| &self.rows[position])
     }
 
-    /// Merges a row. Returns whether the record or its presence changed.
-    ///
-    /// A newer row with the same content only raises the revision of the known row.
+    /// Merges a row of another host. Returns whether the record or its presence changed.
     pub fn merge(&mut self, row: Row) -> bool {
+        self.merge_with(row, true)
+    }
+
+    /// Merges a row that the store lists. Returns whether the record or its presence changed.
+    ///
+    /// A row with the same content only raises the revision of the known row, and is not sent to
+    /// other hosts again: all settings are written at once, whatever changed.
+    pub fn merge_read(&mut self, row: Row) -> bool {
+        self.merge_with(row, false)
+    }
+
+    fn merge_with(&mut self, row: Row, sends_unchanged: bool) -> bool {
         let key = row.record.key();
         match self.position(key) {
             Ok(position) if row.supersedes(&self.rows[position]) => {
                 let known = &mut self.rows[position];
                 let is_changed = known.presence != row.presence || known.record != row.record;
-                self.digest.toggle(known);
-                self.digest.toggle(&row);
+                if is_changed {
+                    self.digest.toggle(known);
+                    self.digest.toggle(&row);
+                }
+                if is_changed || sends_unchanged {
+                    self.content_revisions[position] = row.revision;
+                }
                 *known = row;
                 self.change_count += u64::from(is_changed);
                 is_changed
@@ -88,6 +105,7 @@
             Ok(_) => false,
             Err(position) => {
                 self.digest.toggle(&row);
+                self.content_revisions.insert(position, row.revision);
                 self.rows.insert(position, row);
                 self.change_count += 1;
                 true
@@ -128,20 +146,23 @@
 
     /// Deletes the rows for which `is_expired` returns true.
     pub fn purge(&mut self, is_expired: impl Fn(&Row) -> bool) {
-        let (digest, change_count) = (&mut self.digest, &mut self.change_count);
-        self.rows.retain(|row| {
-            let keep = !is_expired(row);
-            if !keep {
-                digest.toggle(row);
-                *change_count += 1;
+        let rows = std::mem::take(&mut self.rows);
+        let content_revisions = std::mem::take(&mut self.content_revisions);
+        for (row, content_revision) in rows.into_iter().zip(content_revisions) {
+            if is_expired(&row) {
+                self.digest.toggle(&row);
+                self.change_count += 1;
+            } else {
+                self.rows.push(row);
+                self.content_revisions.push(content_revision);
             }
-            keep
-        });
+        }
     }
 
-    /// The rows that changed after `revision`.
+    /// The rows whose content changed after `revision`, sorted by key.
     pub fn changed_after(&self, revision: u64) -> impl Iterator<Item = &Row> {
-        self.rows.iter().filter(move |row| row.revision > revision)
+        let rows = self.rows.iter().zip(&self.content_revisions);
+        rows.filter(move |entry| *entry.1 > revision).map(|entry| entry.0)
     }
 
     fn position(&self, key: Key) -> Result<usize, usize> {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,7 +5,7 @@
 mod placement;
 mod role;
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use catalog::{Absence, Catalog, Key, Presence, Record, Row};
 use rand::{SeedableRng, rngs::StdRng};
@@ -156,7 +156,7 @@
             // With the revision of the read, the row supersedes an earlier false report.
             let written_revision = if is_falsely_absent { revision } else { written_revision };
             let row = Row { revision: written_revision, presence: Presence::Listed, record };
-            if self.catalog.merge(row.clone()) {
+            if self.catalog.merge_read(row.clone()) {
                 changed_rows.push(row);
             }
         }
@@ -177,11 +177,10 @@
         }
         // Rows that peers sent since the last read were merged already, so they are not among
         // `changed_rows`. Of these, a corrected row may have the revision `after`.
-        let mut changed: Vec<Key> = changed_rows.iter().map(|row| row.record.key()).collect();
-        changed.sort_unstable();
-        let is_pushed =
-            |row: &&Row| row.revision > after || changed.binary_search(&row.record.key()).is_ok();
-        let rows = self.catalog.rows().iter().filter(is_pushed).cloned().collect();
+        let mut rows = changed_rows;
+        rows.extend(self.catalog.changed_after(after).cloned());
+        rows.sort_by_key(|row| (row.record.key(), Reverse((row.revision, row.presence))));
+        rows.dedup_by_key(|row| row.record.key());
         self.push(after, rows, now_ms)
     }
 
--- a/crates/relay/tests/bulk_changes.rs
+++ b/crates/relay/tests/bulk_changes.rs
@@ -23,6 +23,9 @@
 /// The time within which settings and announcements have to be in force, in milliseconds.
 const IN_FORCE_MS: u64 = 5_000;
 
+/// What a host may spend on control, in bytes per second.
+const CONTROL_BYTES_PER_S: u64 = 12_000;
+
 /// Links of 10 Mbit/s, with the default size of a socket's buffer as their queue.
 const LINKS: LinkConfig = LinkConfig { bytes_per_ms: 1_250, queue_bytes: 212_992, delay_us: 700 };
 
@@ -91,12 +94,29 @@
     }
 }
 
-#[test]
-fn quiet_afterwards() {
-    let mut fleet = check(14_000, 4);
-    // A host spends at most 12 KB/s on control, heartbeats and load reports included.
+/// Asserts that the hosts send no more during the next 5 s than a host may spend on control.
+fn assert_quiet(fleet: &mut Fleet) {
     let before = fleet.sent_bytes;
     fleet.run(5_000, |_| {});
     let sent_bytes = fleet.sent_bytes - before;
-    assert!(sent_bytes <= 5 * 12_000 * HOSTS as u64, "{sent_bytes} bytes in 5 s without a change");
+    assert!(sent_bytes <= 5 * CONTROL_BYTES_PER_S * HOSTS as u64, "{sent_bytes} bytes in 5 s");
+}
+
+#[test]
+fn quiet_afterwards() {
+    let mut fleet = check(14_000, 4);
+    assert_quiet(&mut fleet);
+}
+
+#[test]
+fn small_change() {
+    let mut fleet = settled_fleet(5);
+    fleet.write_settings(&settings(1, 0));
+    fleet.run(8_000, |_| {});
+    // The settings are written as a whole, but only one route is new.
+    let written = settings(1, 1);
+    fleet.write_settings(&written);
+    assert_quiet(&mut fleet);
+    let added = written.last().expect("routes");
+    (0..HOSTS).for_each(|index| assert!(fleet.knows(index, added), "host {index}"));
 }
