Read a large answer of the store while it keeps arriving

The settings with 4,240 routes take about a second on a link of 10 Mbit/s; each retry starts anew.

Cause: the time limit applied to the whole response. It now applies to the time without a part of one, and a response may take ten times as long as long as parts arrive.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 requests with a time limit, on a persistent connection or on a new one for each request.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
@@ -10,6 +14,9 @@
 
 use crate::StoreError;
 
+/// How many times its time limit a response may take while parts of it keep arriving.
+const MAX_TIMEOUTS_PER_RESPONSE: u32 = 10;
+
 /// A response with its body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpResponse {
@@ -46,6 +53,9 @@
 
     /// Sends a request and reads the whole response. A failed call closes the connection.
     ///
+    /// `timeout` limits the time without a part of the response: a large one takes long on a slow link,
+    /// and would take as long again if it was requested anew.
+    ///
     /// # Errors
     ///
     /// [`StoreError::Unreachable`] if nothing was sent, otherwise [`StoreError::NoAnswer`].
@@ -60,16 +70,24 @@
         // Taken out of `self`, so that a call that fails or is dropped leaves no connection with an
         // unfinished exchange.
         let reusable = self.open.take();
+        let part_at = Cell::new(Instant::now());
         let call = async {
             let mut open = match reusable.filter(|open| !open.sender.is_closed()) {
                 Some(open) => open,
                 None => open_connection(address).await?,
             };
-            let response = send_on(address, &mut open, method, path, body).await?;
+            let response = send_on(address, &mut open, method, path, body, &part_at).await?;
             Ok((open, response))
         };
         let timed_out = async {
-            Timer::after(timeout).await;
+            let latest = part_at.get() + timeout * MAX_TIMEOUTS_PER_RESPONSE;
+            loop {
+                let due = (part_at.get() + timeout).min(latest);
+                if Instant::now() >= due {
+                    break;
+                }
+                Timer::at(due).await;
+            }
             Err(StoreError::NoAnswer(format!("{address}: no answer within {timeout:?}")))
         };
         let (open, response) = call.or(timed_out).await?;
@@ -157,6 +175,7 @@
     method: Method,
     path: &str,
     body: Vec<u8>,
+    part_at: &Cell<Instant>,
 ) -> Result<HttpResponse, StoreError> {
     let mut request =
         Request::builder().method(method).uri(path).header("host", address.to_string());
@@ -170,7 +189,7 @@
     let sender = &mut open.sender;
     let send_and_read = async {
         let raw_response = sender.send_request(request).await.map_err(no_response)?;
-        read_response(raw_response).await
+        read_response(raw_response, part_at).await
     };
     // The connection makes progress only while its driver is polled.
     let driver = &mut open.driver;
@@ -184,17 +203,26 @@
     send_and_read.or(drive_connection).await
 }
 
-async fn read_response(raw_response: Response<Incoming>) -> Result<HttpResponse, StoreError> {
+/// Reads the body, and notes in `part_at` when a part of it arrives.
+async fn read_response(
+    raw_response: Response<Incoming>,
+    part_at: &Cell<Instant>,
+) -> Result<HttpResponse, StoreError> {
     let status = raw_response.status().as_u16();
     let header = raw_response.headers().get("x-consul-index");
     let index = header
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
-    let collected = raw_response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
-    Ok(HttpResponse { status, index, body: collected.to_bytes().to_vec() })
+    let mut incoming = raw_response.into_body();
+    let mut body = Vec::new();
+    part_at.set(Instant::now());
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| StoreError::NoAnswer(error.to_string()))?;
+        part_at.set(Instant::now());
+        if let Some(data) = frame.data_ref() {
+            body.extend_from_slice(data);
+        }
+    }
+    Ok(HttpResponse { status, index, body })
 }
