Repeat pulls at a constant interval, with smaller windows

A pull that was not answered was repeated after 300 ms, 600 ms and 1,200 ms, also if the peer only waited for rows itself; hosts at the end of a chain stood still for over a second. A repeated pull is now for at most half a window, down to one batch of 3 KB, so it may be repeated every 300 ms. The first window is two batches, since all children of a reader pull at once.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -28,8 +28,7 @@
     /// How many hosts a host forwards a push to: few, since a large change crosses 10 Mbit/s links
     /// that many times.
     pub fanout: usize,
-    /// How long a host waits for rows that it pulled before it pulls them again. The wait doubles with
-    /// each repetition.
+    /// How long a host waits for rows that it pulled before it pulls them again, with half the window.
     pub pull_timeout_ms: u64,
     /// How many times a pull is repeated before the transfer is given up.
     pub pull_retries_max: u32,
@@ -81,7 +80,7 @@
             rank_step_ms: 130,
             fanout: 4,
             pull_timeout_ms: 300,
-            pull_retries_max: 3,
+            pull_retries_max: 10,
             history_wait_ms: 500,
             history_wait_max_ms: 8_000,
             poll_fanout: 3,
--- a/crates/relay/src/relay/transfers.rs
+++ b/crates/relay/src/relay/transfers.rs
@@ -48,8 +48,7 @@
     /// up if several pulls were not answered.
     pub(super) fn repeat_pull(&mut self, now_ms: u64) -> Vec<Outgoing> {
         let Some(transfer) = &mut self.transfer else { return Vec::new() };
-        let timeout_ms = self.config.pull_timeout_ms << transfer.retries;
-        if now_ms < transfer.active_at_ms + timeout_ms {
+        if now_ms < transfer.active_at_ms + self.config.pull_timeout_ms {
             return Vec::new();
         }
         if transfer.retries == self.config.pull_retries_max {
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -11,6 +11,9 @@
 
 use crate::{Heartbeat, KeyRange, RowBatch, Scope};
 
+/// The number of batches in the first window, which several hosts pull at the same time.
+const INITIAL_WINDOW_BATCHES: usize = 2;
+
 /// A transfer with some rows still missing.
 #[derive(Debug)]
 pub(crate) struct Transfer {
@@ -69,7 +72,7 @@
             position: None,
             ranges: Vec::new(),
             window_end: None,
-            window_batches: usize::from(u8::MAX),
+            window_batches: INITIAL_WINDOW_BATCHES,
             source: None,
             keys: Vec::new(),
             root: HostId(0),
