--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use crate::{Catalog, FlowTag, Listener, Presence, Record, Service, Stage, TagTable, Target};
+use crate::{
+    Catalog, FlowTag, Listener, Presence, Record, Revision, Service, Stage, TagTable, Target,
+};
 
 /// The index of a listener in its directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,7 +18,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: Revision,
     /// How long a flow may be idle before it may be dropped from the flow table, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Whether a target that the directory lacks is gone; see [`Catalog::is_complete`].
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,16 +4,18 @@
 //! This crate does no I/O and does not choose targets for flows. [`Catalog`] merges rows from any
 //! source in any order; [`Directory`] holds the immutable lookup tables that the data path uses.
 //!
-//! Architecture Invariant: merging is commutative and idempotent, and a row never goes back to an
-//! earlier revision.
+//! Architecture Invariant: merging is commutative and idempotent. A row never goes back to an earlier
+//! revision of its era, nor to an earlier write of its writer.
 
 mod directory;
+mod revision;
 mod row;
 mod rows;
 mod tag;
 
 pub use crate::{
     directory::{Directory, ListenerIndex, TargetIndex},
+    revision::Revision,
     row::{
         Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share, Stage, Target,
         TargetId,
--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddrV4;
 
+use crate::Revision;
+
 /// Identifies a target; a target may keep its id across restarts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetId(pub u64);
@@ -121,6 +123,11 @@
 }
 
 impl Record {
+    /// Whether the record is part of the settings, which are written as a whole.
+    pub fn is_settings(&self) -> bool {
+        !matches!(self, Record::Target(_))
+    }
+
     /// The key of the row that holds this record.
     pub fn key(&self) -> Key {
         match self {
@@ -191,7 +198,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
     /// The store's revision at the last change of the record or of its presence.
-    pub revision: u64,
+    pub revision: Revision,
+    /// The writer's own count, which rises with each write, whatever the store loses: the version of
+    /// the settings, or the number of announcements of a target since its start.
+    pub edition: u64,
     /// Whether the store lists it.
     pub presence: Presence,
     /// The record as it was last listed.
@@ -199,8 +209,29 @@
 }
 
 impl Row {
-    /// Whether this row is newer than `other`.
+    /// Whether this row is newer than `other`, which has the same key.
+    ///
+    /// The version decides between settings. Between rows of targets the store's revision does within
+    /// an era, and what the target wrote last across eras: a later one may list what the target wrote
+    /// before the copy was made.
     pub fn supersedes(&self, other: &Row) -> bool {
-        (self.revision, self.presence) > (other.revision, other.presence)
+        let (Record::Target(target), Record::Target(other_target)) = (&self.record, &other.record)
+        else {
+            return (self.edition, self.revision, self.presence)
+                > (other.edition, other.revision, other.presence);
+        };
+        let is_same_start = target.started_at_ms == other_target.started_at_ms;
+        let are_listed = [self, other].iter().all(|row| row.presence == Presence::Listed);
+        if is_same_start && are_listed && self.edition != other.edition {
+            return self.edition > other.edition;
+        }
+        if self.revision.era == other.revision.era {
+            return (self.revision, self.presence) > (other.revision, other.presence);
+        }
+        // Of two rows with the same announcement, the one that knows of its end is newer.
+        let order = |row: &Row, target: &Target| {
+            (target.started_at_ms, row.edition, row.presence == Presence::Gone, row.revision.era)
+        };
+        order(self, target) > order(other, other_target)
     }
 }
--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -1,6 +1,6 @@
 //! The catalog: a table of rows that merges in any order.
 
-use crate::{Key, Presence, Record, Row};
+use crate::{Key, Presence, Record, Revision, Row};
 
 /// An order-independent digest of the listed records; equal on hosts that hold the same ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,8 +27,9 @@
 pub struct Catalog {
     rows: Vec<Row>,
     /// For each row, the revision after which other hosts may lack its content.
-    content_revisions: Vec<u64>,
-    revision: u64,
+    content_revisions: Vec<Revision>,
+    revision: Revision,
+    settings_version: u64,
     digest: Digest,
     change_count: u64,
     is_complete: bool,
@@ -36,10 +37,15 @@
 
 impl Catalog {
     /// The store's revision up to which every change is known.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// The version of the settings of which every row is known.
+    pub fn settings_version(&self) -> u64 {
+        self.settings_version
+    }
+
     /// The digest of all rows.
     pub fn digest(&self) -> Digest {
         self.digest
@@ -90,7 +96,9 @@
         match self.position(key) {
             Ok(position) if row.supersedes(&self.rows[position]) => {
                 let known = &mut self.rows[position];
-                let is_changed = known.presence != row.presence || known.record != row.record;
+                let is_changed = known.presence != row.presence
+                    || known.record != row.record
+                    || (key == Key::Limits && known.edition != row.edition);
                 if is_changed {
                     self.digest.toggle(known);
                     self.digest.toggle(&row);
@@ -103,6 +111,8 @@
                 is_changed
             }
             Ok(_) => false,
+            // Later settings have dropped it, and this host never knew it.
+            Err(_) if row.record.is_settings() && row.edition < self.settings_version => false,
             Err(position) => {
                 self.digest.toggle(&row);
                 self.content_revisions.insert(position, row.revision);
@@ -113,35 +123,69 @@
         }
     }
 
-    /// Records that every change up to `revision` is known. A lower revision has no effect.
-    pub fn advance(&mut self, revision: u64) {
+    /// Records that every change up to `revision` is known, and the settings of `settings_version`.
+    /// Lower values have no effect.
+    pub fn advance(&mut self, revision: Revision, settings_version: u64) {
         self.revision = self.revision.max(revision);
+        self.settings_version = self.settings_version.max(settings_version);
+    }
+
+    /// Counts the end of targets in earlier eras as of the start of the present one, so that these
+    /// targets are listed again if the store lists them now.
+    pub fn adopt_era(&mut self) {
+        let era = self.revision.era;
+        for row in self.rows.iter_mut().filter(|row| !row.record.is_settings()) {
+            if row.presence != Presence::Listed && row.revision.era < era {
+                row.revision = Revision::new(era, 0);
+            }
+        }
     }
 
-    /// Marks the rows for which `is_absent` returns true as lapsed or gone as of `revision`.
+    /// Marks the targets for which `is_absent` returns true as lapsed or gone as of `revision`.
     /// Returns the changed rows.
     ///
-    /// Only targets can lapse: they announce themselves repeatedly, while settings are written
-    /// once. Rows that changed after `revision`, or that were listed at it, are left unchanged.
+    /// Targets that changed after `revision`, or that were listed at it, are left unchanged.
     pub fn mark_absent(
         &mut self,
-        revision: u64,
+        revision: Revision,
         absence: Absence,
         is_absent: impl Fn(&Row) -> bool,
     ) -> Vec<Row> {
-        let mut absent = Vec::new();
-        for row in self.rows.iter().filter(|row| row.revision <= revision) {
-            let presence = match (absence, &row.record) {
-                (Absence::Provisional, Record::Target(_)) => Presence::Lapsed,
-                _ => Presence::Gone,
-            };
+        let presence = match absence {
+            Absence::Provisional => Presence::Lapsed,
+            Absence::Conclusive => Presence::Gone,
+        };
+        self.replace_rows(|row| {
             let is_earlier = row.presence == Presence::Listed || row.presence < presence;
-            if is_earlier && is_absent(row) {
-                absent.push(Row { revision, presence, ..row.clone() });
-            }
-        }
-        absent.retain(|row| self.merge(row.clone()));
-        absent
+            let absent = || Row { revision, presence, ..row.clone() };
+            (!row.record.is_settings() && is_earlier && is_absent(row)).then(absent)
+        })
+    }
+
+    /// Marks the settings for which `is_removed` returns true as gone, as of `revision` and the
+    /// version `settings_version`. Returns the changed rows.
+    ///
+    /// Settings cannot lapse: they are written once and do not expire. Rows of this version or a later
+    /// one are left unchanged.
+    pub fn mark_removed(
+        &mut self,
+        revision: Revision,
+        settings_version: u64,
+        is_removed: impl Fn(&Row) -> bool,
+    ) -> Vec<Row> {
+        let (edition, presence) = (settings_version, Presence::Gone);
+        self.replace_rows(|row| {
+            let is_earlier = row.presence == Presence::Listed && row.edition < edition;
+            let removed = || Row { revision, edition, presence, ..row.clone() };
+            (row.record.is_settings() && is_earlier && is_removed(row)).then(removed)
+        })
+    }
+
+    /// Merges the rows that `replacement` returns. Returns those that changed.
+    fn replace_rows(&mut self, replacement: impl Fn(&Row) -> Option<Row>) -> Vec<Row> {
+        let mut replacements: Vec<Row> = self.rows.iter().filter_map(replacement).collect();
+        replacements.retain(|row| self.merge(row.clone()));
+        replacements
     }
 
     /// Deletes the rows for which `is_expired` returns true.
@@ -160,7 +204,7 @@
     }
 
     /// The rows whose content changed after `revision`, sorted by key.
-    pub fn changed_after(&self, revision: u64) -> impl Iterator<Item = &Row> {
+    pub fn changed_after(&self, revision: Revision) -> impl Iterator<Item = &Row> {
         self.rows_after(None, Some(revision))
     }
 
@@ -169,7 +213,7 @@
     pub fn rows_after(
         &self,
         start: Option<Key>,
-        revision: Option<u64>,
+        revision: Option<Revision>,
     ) -> impl Iterator<Item = &Row> {
         let first = start.map_or(0, |key| self.rows.partition_point(|row| row.record.key() <= key));
         let revisions = self.content_revisions[first..].iter();
@@ -189,13 +233,17 @@
 }
 
 // Rows that are not listed are left out: hosts that started at different times know different ones.
-// Revisions are left out: a record that was rewritten without a change is the same.
+// Revisions are left out: a record that was rewritten without a change is the same. The version of
+// the settings is part of the row of the limits.
 fn fingerprint(row: &Row) -> u64 {
     if row.presence != Presence::Listed {
         return 0;
     }
     let mut bytes = Vec::new();
     row.record.write_bytes(&mut bytes);
+    if matches!(row.record, Record::Limits(_)) {
+        bytes.extend(row.edition.to_be_bytes());
+    }
     let mut digest = [0; 8];
     digest.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
     u64::from_be_bytes(digest)
--- a/crates/catalog/tests/rows.rs
+++ b/crates/catalog/tests/rows.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Absence, Catalog, Directory, Listener, Presence, Record, RequestKind, Row, Share, Stage,
-    Target, TargetId,
+    Absence, Catalog, Directory, Listener, Presence, Record, RequestKind, Revision, Row, Share,
+    Stage, Target, TargetId,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -33,7 +33,12 @@
 }
 
 fn listed(revision: u64, record: Record) -> Row {
-    Row { revision, presence: Presence::Listed, record }
+    Row {
+        revision: Revision::new(1, revision),
+        edition: revision,
+        presence: Presence::Listed,
+        record,
+    }
 }
 
 fn catalog(rows: &[Row]) -> Catalog {
@@ -47,19 +52,23 @@
 #[test]
 fn removed_settings() {
     let mut catalog = catalog(&[listed(1, listener(80)), listed(2, target(7, 8_000))]);
-    let changed = catalog.mark_absent(3, Absence::Provisional, |_| true);
+    let revision = Revision::new(1, 3);
+    let mut changed = catalog.mark_removed(revision, 3, |_| true);
+    changed.extend(catalog.mark_absent(revision, Absence::Provisional, |_| true));
     let presences: Vec<Presence> = changed.iter().map(|row| row.presence).collect();
     // After an outage the store may lack announcements for a while, but never settings.
-    assert_eq!(presences, [Presence::Lapsed, Presence::Gone]);
+    assert_eq!(presences, [Presence::Gone, Presence::Lapsed]);
     assert!(Directory::new(&catalog).listeners().is_empty());
 }
 
 #[test]
 fn lapsed_then_gone() {
     let mut catalog = catalog(&[listed(2, target(7, 8_000))]);
-    catalog.mark_absent(3, Absence::Provisional, |_| true);
+    catalog.mark_absent(Revision::new(1, 3), Absence::Provisional, |_| true);
     assert_eq!(Directory::new(&catalog).open_targets(1).count(), 1);
-    catalog.mark_absent(3, Absence::Conclusive, |row| row.presence == Presence::Lapsed);
+    catalog.mark_absent(Revision::new(1, 3), Absence::Conclusive, |row| {
+        row.presence == Presence::Lapsed
+    });
     assert_eq!(Directory::new(&catalog).open_targets(1).count(), 0);
 }
 
@@ -84,7 +93,7 @@
             1 => Presence::Lapsed,
             _ => Presence::Gone,
         };
-        Row { revision, presence, record }
+        Row { revision: Revision::new(1, revision), edition: revision, presence, record }
     })
 }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Key, Record};
+use catalog::{Key, Presence, Revision, Row};
 use membership::{Member, MemberState, Membership};
-use relay::{Peer, Relay, StoreUpdate};
+use relay::{Peer, Relay, Settings, StoreUpdate};
 use routing::HostId;
 use store::{Change, ChangeList, Item, Listing, StoreError};
 use telemetry::{Event, field};
 use wire::Control as Message;
 
-use crate::{KeyKind, Platform, replay::ReplayGuard, shared::Shared};
+use crate::{Decoded, KeyKind, Platform, replay::ReplayGuard, shared::Shared};
 
 /// The interval between load reports to the own failure domain, in milliseconds for each other host
 /// of the domain. All of them together send a host fewer than 20 reports a second.
@@ -22,6 +22,9 @@
 /// One in this many load reports also goes to the hosts of other failure domains.
 const REMOTE_LOADS_EVERY: u32 = 5;
 
+/// The settings revision in probes: with tagged affinity heartbeats tell it instead.
+const NO_SETTINGS: u64 = 0;
+
 /// Messages to send, each with its destination.
 pub(crate) type OutgoingMessages = Vec<(SocketAddr, Message)>;
 
@@ -106,8 +109,7 @@
         probe: &membership::Probe,
         now_ms: u64,
     ) -> OutgoingMessages {
-        let revision = self.relay.catalog().revision();
-        let out = self.membership.on_probe(from, probe, now_ms, revision);
+        let out = self.membership.on_probe(from, probe, now_ms, NO_SETTINGS);
         self.update_relay_peers();
         out.into_iter().map(probe_message).collect()
     }
@@ -123,9 +125,8 @@
     }
 
     pub(crate) fn tick(&mut self, now_ms: u64) -> OutgoingMessages {
-        let revision = self.relay.catalog().revision();
         let mut messages: OutgoingMessages =
-            self.membership.tick(now_ms, revision).into_iter().map(probe_message).collect();
+            self.membership.tick(now_ms, NO_SETTINGS).into_iter().map(probe_message).collect();
         self.update_relay_peers();
         messages.extend(self.relay.tick(now_ms).into_iter().map(relay_message));
         messages
@@ -134,8 +135,7 @@
     /// Marks this host as having left and announces it to 4 random hosts, which gossip it further.
     pub(crate) fn leave(&mut self, now_ms: u64) -> OutgoingMessages {
         self.membership.set_state(MemberState::Left, now_ms);
-        let revision = self.relay.catalog().revision();
-        self.membership.broadcast(4, revision).into_iter().map(probe_message).collect()
+        self.membership.broadcast(4, NO_SETTINGS).into_iter().map(probe_message).collect()
     }
 
     /// The hosts to send a load report to now; empty if none is due. Counts the report as sent.
@@ -175,21 +175,15 @@
         now_ms: u64,
     ) -> OutgoingMessages {
         self.on_store_answer();
-        let listed = decode_all::<P>(listing.items.iter());
-        let mut removed = self.unlisted_targets::<P>(&listing);
-        for item in &listing.items {
-            if P::key_kind(&item.key) == KeyKind::Settings {
-                removed.extend(self.removed_settings(item, &listed));
-            }
-        }
-        let update =
-            StoreUpdate { revision: listing.revision, listed, removed, valid_at_ms: sent_at_ms };
-        self.apply_update(update, now_ms)
+        let removed = self.unlisted_targets::<P>(&listing);
+        let (settings, targets) = self.decode_all::<P>(listing.items.iter());
+        let (revision, valid_at_ms) = (listing.revision, sent_at_ms);
+        self.apply_update(StoreUpdate { revision, settings, targets, removed, valid_at_ms }, now_ms)
     }
 
     /// The targets of the catalog that the listing lacks. An entry that cannot be decoded still
     /// counts as listed.
-    fn unlisted_targets<P: Platform>(&self, listing: &Listing) -> Vec<(u64, Key)> {
+    fn unlisted_targets<P: Platform>(&self, listing: &Listing) -> Vec<(Revision, Key)> {
         let mut listed: Vec<Key> = listing
             .items
             .iter()
@@ -218,23 +212,46 @@
             Change::Written(item) => Some(item),
             Change::Removed { .. } => None,
         });
-        let listed = decode_all::<P>(written);
-        let mut removed: Vec<(u64, Key)> = Vec::new();
-        for change in &list.changes {
-            match change {
-                Change::Removed { key, revision } => {
-                    if let KeyKind::Target(id) = P::key_kind(key) {
-                        removed.push((*revision, Key::Target(id)));
-                    }
+        let (settings, targets) = self.decode_all::<P>(written);
+        let removed = list.changes.iter().filter_map(|change| match change {
+            Change::Removed { key, revision } => match P::key_kind(key) {
+                KeyKind::Target(id) => Some((*revision, Key::Target(id))),
+                _ => None,
+            },
+            Change::Written(_) => None,
+        });
+        let (revision, removed) = (list.revision, removed.collect());
+        self.apply_update(StoreUpdate { revision, settings, targets, removed, valid_at_ms }, now_ms)
+    }
+
+    /// The settings and the rows of targets in `items`. Items that cannot be decoded change nothing.
+    fn decode_all<'a, P: Platform>(
+        &self,
+        items: impl Iterator<Item = &'a Item>,
+    ) -> (Vec<Settings>, Vec<Row>) {
+        let (mut settings, mut targets) = (Vec::new(), Vec::new());
+        for item in items {
+            let Decoded { edition, records } = match P::decode(item) {
+                Ok(decoded) => decoded,
+                Err(error) => {
+                    log_rejected(item, error);
+                    continue;
                 }
-                Change::Written(item) if P::key_kind(&item.key) == KeyKind::Settings => {
-                    removed.extend(self.removed_settings(item, &listed));
+            };
+            let revision = item.revision;
+            if P::key_kind(&item.key) == KeyKind::Settings {
+                let in_force = self.relay.catalog().settings_version();
+                if edition < in_force {
+                    log_rejected(item, format_args!("version {edition} is before {in_force}"));
                 }
-                Change::Written(_) => {}
+                settings.push(Settings { version: edition, revision, records });
+                continue;
             }
+            let presence = Presence::Listed;
+            let rows = records.into_iter();
+            targets.extend(rows.map(|record| Row { revision, edition, presence, record }));
         }
-        let update = StoreUpdate { revision: list.revision, listed, removed, valid_at_ms };
-        self.apply_update(update, now_ms)
+        (settings, targets)
     }
 
     /// Notes that a call to the store failed.
@@ -255,29 +272,6 @@
         self.relay.on_store_update(update, now_ms).into_iter().map(relay_message).collect()
     }
 
-    /// The listeners, services and limits that the settings in `item` no longer contain, of those in
-    /// the catalog or in settings that the same read returned.
-    fn removed_settings(&self, item: &Item, listed: &[(u64, Record)]) -> Vec<(u64, Key)> {
-        // Settings that cannot be decoded remove nothing.
-        let kept: Vec<Key> = listed
-            .iter()
-            .filter(|(revision, _)| *revision == item.revision)
-            .map(|(_, record)| record.key())
-            .collect();
-        if kept.is_empty() {
-            return Vec::new();
-        }
-        let in_catalog = self.relay.catalog().rows().iter().map(|row| row.record.key());
-        let earlier = listed.iter().filter(|(revision, _)| *revision < item.revision);
-        let mut removed: Vec<Key> = in_catalog
-            .chain(earlier.map(|(_, record)| record.key()))
-            .filter(|key| !matches!(key, Key::Target(_)) && !kept.contains(key))
-            .collect();
-        removed.sort_unstable();
-        removed.dedup();
-        removed.into_iter().map(|key| (item.revision, key)).collect()
-    }
-
     fn peers(&self) -> impl Iterator<Item = &Member> {
         let me = self.membership.me().id;
         let members = self.membership.table().members();
@@ -301,26 +295,12 @@
     }
 }
 
-fn decode_all<'a, P: Platform>(items: impl Iterator<Item = &'a Item>) -> Vec<(u64, Record)> {
-    let mut records = Vec::new();
-    for item in items {
-        match P::decode(item) {
-            Ok(decoded) => {
-                records.extend(decoded.into_iter().map(|record| (item.revision, record)));
-            }
-            Err(decode_error) => {
-                telemetry::emit(
-                    Event::EntryRejected,
-                    &[
-                        field("key", &item.key),
-                        field("revision", item.revision),
-                        field("cause", decode_error),
-                    ],
-                );
-            }
-        }
-    }
-    records
+fn log_rejected(item: &Item, cause: impl std::fmt::Display) {
+    let (key, revision) = (&item.key, item.revision);
+    telemetry::emit(
+        Event::EntryRejected,
+        &[field("key", key), field("revision", revision), field("cause", cause)],
+    );
 }
 
 fn relay_message(outgoing: relay::Outgoing) -> (SocketAddr, Message) {
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -199,7 +199,9 @@
         telemetry::emit(
             Event::CatalogInForce,
             &[
-                field("revision", catalog.revision()),
+                field("era", catalog.revision().era),
+                field("revision", catalog.revision().number),
+                field("settings_version", catalog.settings_version()),
                 field("listeners", directory.listeners().len()),
                 field("targets", directory.target_count()),
                 field("view_age_ms", now_ms.saturating_sub(confirmed_at_ms)),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,7 +29,7 @@
 
 use crate::{data_thread::DataThread, shared::Shared};
 pub use crate::{
-    platform::{DecodeError, KeyKind, Platform},
+    platform::{DecodeError, Decoded, KeyKind, Platform},
     settings_file::EdgeSettings,
 };
 
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -17,6 +17,15 @@
     Other,
 }
 
+/// The content of an item of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decoded {
+    /// The writer's own count of its writes; see [`catalog::Row::edition`].
+    pub edition: u64,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
 /// Why an item of the store cannot be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecodeError(pub String);
@@ -51,7 +60,7 @@
     /// # Errors
     ///
     /// Fails if the item is malformed; the error says why.
-    fn decode(item: &Item) -> Result<Vec<Record>, DecodeError>;
+    fn decode(item: &Item) -> Result<Decoded, DecodeError>;
 
     /// Parses a datagram from a caller. Returns `None` if it is not a valid packet.
     fn parse(datagram: &[u8]) -> Option<Segment>;
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use catalog::Revision;
 use rand::RngExt;
 use relay::Role;
 use smol::Timer;
@@ -51,7 +52,8 @@
             }
             Err(error) => {
                 state.with_core(|core| core.on_store_error(&error));
-                // The store no longer has the changes since our revision, so list everything again.
+                // The store no longer has the changes since our revision, or has returned from a copy
+                // without them, so list everything again.
                 can_watch = can_watch && error != StoreError::HistoryLost;
                 if error == StoreError::HistoryLost {
                     continue;
@@ -73,8 +75,8 @@
 ) -> Result<bool, StoreError> {
     let sent_at_ms = clock::now_ms();
     let revision = state.with_core(|core| core.relay().catalog().revision());
-    let Some(timeout_ms) = timeout_ms.filter(|_| revision > 0) else {
-        let listing = store.list(P::KEY_PREFIX).await?;
+    let Some(timeout_ms) = timeout_ms.filter(|_| revision > Revision::ZERO) else {
+        let listing = store.list(P::KEY_PREFIX, revision.era).await?;
         let now_ms = clock::now_ms();
         let messages = state.with_core(|core| core.on_listing::<P>(listing, sent_at_ms, now_ms));
         state.publish_and_send(messages);
--- a/crates/measures/src/directory.rs
+++ b/crates/measures/src/directory.rs
@@ -8,8 +8,8 @@
 
 use allocation_counter::measure;
 use catalog::{
-    Catalog, Directory, Key, Listener, Presence, Record, RequestKind, Row, Share, Stage, Target,
-    TargetId,
+    Catalog, Directory, Key, Listener, Presence, Record, RequestKind, Revision, Row, Share, Stage,
+    Target, TargetId,
 };
 use routing::mix;
 use serde::Serialize;
@@ -65,7 +65,7 @@
     let removed = target_row(targets / 3, (targets / 3) % listeners, Stage::Ready, 1);
     let key = removed.record.key();
     assert!(
-        catalog.merge(Row { revision: 3, presence: Presence::Gone, ..removed }),
+        catalog.merge(Row { revision: Revision::new(1, 3), presence: Presence::Gone, ..removed }),
         "the catalog must accept the removal"
     );
     catalog.purge(|row| row.record.key() == key);
@@ -129,7 +129,7 @@
         aim_ms: 250,
         timeout_ms: 1_500,
     });
-    Row { revision: 1, presence: Presence::Listed, record }
+    Row { revision: Revision::new(1, 1), edition: 1, presence: Presence::Listed, record }
 }
 
 fn target_row(number: usize, service: usize, stage: Stage, revision: u64) -> Row {
@@ -145,5 +145,10 @@
         started_at_ms: number as u64,
     });
     debug_assert!(matches!(record.key(), Key::Target(_)));
-    Row { revision, presence: Presence::Listed, record }
+    Row {
+        revision: Revision::new(1, revision),
+        edition: revision,
+        presence: Presence::Listed,
+        record,
+    }
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -63,6 +63,9 @@
     /// How long a target must have been lapsed when the catalog was last confirmed, for the target
     /// to be marked as gone: twice the time within which announcements reappear.
     pub lapsed_ttl_ms: u64,
+    /// How long after the start of an era announcements of earlier ones may be missing or older than
+    /// known: twice the time within which they are written again.
+    pub era_settling_ms: u64,
     /// How long gone rows are kept: longer than a flow lives.
     pub gone_ttl_ms: u64,
 }
@@ -91,6 +94,7 @@
             placement_wait_ms: 500,
             placement_lease_ms: 1_000,
             lapsed_ttl_ms: 5_000,
+            era_settling_ms: 5_000,
             gone_ttl_ms: 75_000,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,5 +27,5 @@
 pub use crate::{
     config::Config,
     message::{Heartbeat, KeyRange, Message, Outgoing, Peer, Pull, RowBatch, Scope},
-    relay::{Relay, Role, StoreUpdate},
+    relay::{Relay, Role, Settings, StoreUpdate},
 };
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Digest, Key, Row};
+use catalog::{Digest, Key, Revision, Row};
 use routing::HostId;
 
 /// Another host that is alive.
@@ -23,7 +23,9 @@
     /// the leader that it sent the heartbeat to. `HostId(0)` if it is not forwarded.
     pub root: HostId,
     /// The revision up to which the sender knows every change.
-    pub revision: u64,
+    pub revision: Revision,
+    /// The version of the settings of which the sender knows every row.
+    pub settings_version: u64,
     /// The digest of the sender's rows.
     pub digest: Digest,
     /// The time since the catalog was last known to be current, in milliseconds.
@@ -44,9 +46,9 @@
 /// Requests the next rows of a transfer; answered with a heartbeat if nothing is newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pull {
-    /// The revision of the requesting host; 0 also to request every row that the store no longer
-    /// lists, which only a host that has them all answers with rows.
-    pub revision: u64,
+    /// The revision of the requesting host; [`Revision::ZERO`] also to request every row that the store
+    /// no longer lists, which only a host that has them all answers with rows.
+    pub revision: Revision,
     /// The digest of its rows.
     pub digest: Digest,
     /// Which rows it requests.
@@ -59,8 +61,13 @@
 
 impl Pull {
     /// The request for every row that the store no longer lists.
-    pub const HISTORY: Pull =
-        Pull { revision: 0, digest: Digest(0), scope: Scope::All, start: None, batches: u8::MAX };
+    pub const HISTORY: Pull = Pull {
+        revision: Revision::ZERO,
+        digest: Digest(0),
+        scope: Scope::All,
+        start: None,
+        batches: u8::MAX,
+    };
 }
 
 /// A range of keys.
@@ -86,7 +93,7 @@
     pub scope: Scope,
     /// The batch contains all changes after this revision. With [`Scope::All`] it contains every
     /// listed row too, but may lack rows that the store stopped listing up to this revision.
-    pub after: u64,
+    pub after: Revision,
     /// The keys that the batch is about.
     pub range: KeyRange,
     /// Whether the sender waits for a pull before it sends more.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! The relay state of one host.
 
 mod absence;
+mod era;
 mod history;
 mod placement;
 mod role;
@@ -8,11 +9,11 @@
 
 use std::{cmp::Reverse, net::SocketAddr};
 
-use catalog::{Absence, Catalog, Key, Presence, Record, Row};
+use catalog::{Absence, Catalog, Key, Presence, Record, Revision, Row};
 use rand::{SeedableRng, rngs::StdRng};
 use routing::HostId;
 
-use self::history::History;
+use self::{era::Era, history::History};
 use crate::{
     Config, Heartbeat, KeyRange, Message, Outgoing, Peer, Pull, RowBatch, Scope,
     key_timestamps::KeyTimestamps, store_health::StoreHealth, topology::Topology,
@@ -36,15 +37,28 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreUpdate {
     /// The store revision of the read.
-    pub revision: u64,
-    /// The listed records, each with the revision at which it was written.
-    pub listed: Vec<(u64, Record)>,
-    /// The keys that are no longer listed, each with the revision of its removal.
-    pub removed: Vec<(u64, Key)>,
+    pub revision: Revision,
+    /// The settings as they were written, in order.
+    pub settings: Vec<Settings>,
+    /// The rows of the listed targets, each with the revision at which it was written.
+    pub targets: Vec<Row>,
+    /// The targets that are no longer listed, each with the revision of its removal.
+    pub removed: Vec<(Revision, Key)>,
     /// The time at which the read was current, by the monotonic clock.
     pub valid_at_ms: u64,
 }
 
+/// The settings of one version: all limits, services and listeners.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// The version; higher ones are later, whatever the store loses.
+    pub version: u64,
+    /// The revision at which they were written.
+    pub revision: Revision,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
 /// The catalog of one host, and the state needed to keep it current.
 #[derive(Debug)]
 pub struct Relay {
@@ -81,6 +95,7 @@
     lapsed: KeyTimestamps,
     gone: KeyTimestamps,
     history: History,
+    era: Era,
     rng: StdRng,
 }
 
@@ -110,6 +125,7 @@
             lapsed: KeyTimestamps::default(),
             gone: KeyTimestamps::default(),
             history: History::default(),
+            era: Era::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -141,8 +157,8 @@
 
     /// Applies what this host read from the store and returns the messages that distribute it.
     pub fn on_store_update(&mut self, update: StoreUpdate, now_ms: u64) -> Vec<Outgoing> {
-        let StoreUpdate { revision, listed, removed, valid_at_ms } = update;
-        if self.is_mass_lapse(&removed) {
+        let StoreUpdate { revision, settings, targets, removed, valid_at_ms } = update;
+        if self.is_mass_lapse(&removed) || revision.era > self.catalog.revision().era {
             // An outage shorter than a blocking read makes no call fail.
             self.store_health.on_failure();
         }
@@ -150,13 +166,19 @@
         let absence = self.store_health.absence(now_ms);
         let after = self.catalog.revision();
         let mut changed_rows = Vec::new();
-        for (written_revision, record) in listed {
-            let key = record.key();
-            let is_falsely_absent = self.is_falsely_absent(key, written_revision, revision)
+        let mut settings_version = 0;
+        for settings in settings {
+            settings_version = settings.version.max(settings_version);
+            changed_rows.extend(self.merge_settings(settings));
+        }
+        for mut row in targets {
+            let key = row.record.key();
+            let is_falsely_absent = self.is_falsely_absent(key, row.revision, revision)
                 && !removed.iter().any(|entry| entry.1 == key);
-            // With the revision of the read, the row supersedes an earlier false report.
-            let written_revision = if is_falsely_absent { revision } else { written_revision };
-            let row = Row { revision: written_revision, presence: Presence::Listed, record };
+            if is_falsely_absent {
+                // With the revision of the read, the row supersedes an earlier false report.
+                row.revision = revision;
+            }
             if self.catalog.merge_read(row.clone()) {
                 changed_rows.push(row);
             }
@@ -165,7 +187,7 @@
             let is_removed = |row: &Row| row.record.key() == key;
             changed_rows.extend(self.catalog.mark_absent(revision, absence, is_removed));
         }
-        self.catalog.advance(revision);
+        self.advance(revision, settings_version, now_ms);
         self.confirm(valid_at_ms, self.topology.me());
         self.track_history(now_ms);
         self.track_absence(&changed_rows, now_ms);
@@ -173,7 +195,7 @@
         self.next_heartbeat_ms = now_ms + self.config.heartbeat_ms;
         // At the first read every row is new to this host, so `changed_rows` says nothing about the
         // other hosts: they read the store as well or already know more.
-        if changed_rows.is_empty() || after == 0 {
+        if changed_rows.is_empty() || after == Revision::ZERO {
             return self.send_heartbeats(now_ms);
         }
         // Rows that peers sent since the last read were merged already, so they are not among
@@ -185,9 +207,29 @@
         self.push(after, rows, now_ms)
     }
 
+    /// Merges settings that the store lists. Returns the changed rows; none if later settings are known.
+    fn merge_settings(&mut self, settings: Settings) -> Vec<Row> {
+        let Settings { version, revision, records } = settings;
+        if version < self.catalog.settings_version() {
+            return Vec::new();
+        }
+        let mut kept: Vec<Key> = records.iter().map(Record::key).collect();
+        kept.sort_unstable();
+        let mut changed_rows = Vec::new();
+        for record in records {
+            let row = Row { revision, edition: version, presence: Presence::Listed, record };
+            if self.catalog.merge_read(row.clone()) {
+                changed_rows.push(row);
+            }
+        }
+        let is_removed = |row: &Row| kept.binary_search(&row.record.key()).is_err();
+        changed_rows.extend(self.catalog.mark_removed(revision, version, is_removed));
+        changed_rows
+    }
+
     /// Whether another host marked a record as absent after it was written, although the store
     /// lists it as of `revision`.
-    fn is_falsely_absent(&self, key: Key, written_revision: u64, revision: u64) -> bool {
+    fn is_falsely_absent(&self, key: Key, written_revision: Revision, revision: Revision) -> bool {
         let known = self.catalog.get(key);
         known.is_some_and(|row| {
             row.presence != Presence::Listed
@@ -220,6 +262,7 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         self.purge_gone(now_ms);
         self.expire_lapsed(now_ms);
+        self.settle_era(now_ms);
         self.track_age(now_ms);
         let mut out = self.poll_peers_if_stale(now_ms);
         out.extend(self.repeat_pull(now_ms));
@@ -240,7 +283,7 @@
 
     /// Whether so many targets vanish at once that the store must have had an outage: targets leave
     /// or die a few at a time.
-    fn is_mass_lapse(&self, removed: &[(u64, Key)]) -> bool {
+    fn is_mass_lapse(&self, removed: &[(Revision, Key)]) -> bool {
         let is_target = |key: &Key| matches!(key, Key::Target(_));
         let is_listed = |row: &&Row| row.presence == Presence::Listed;
         let rows = self.catalog.rows().iter().filter(is_listed);
@@ -277,6 +320,7 @@
         Some(Heartbeat {
             root,
             revision: self.catalog.revision(),
+            settings_version: self.catalog.settings_version(),
             digest: self.catalog.digest(),
             age_ms: now_ms.saturating_sub(confirmed_at_ms),
             reader: self.confirmed_by,
@@ -295,28 +339,37 @@
         now_ms: u64,
     ) -> Vec<Outgoing> {
         self.last_received_at_ms = Some(now_ms);
-        if heartbeat.revision < self.catalog.revision() {
+        let (revision, settings_version) =
+            (self.catalog.revision(), self.catalog.settings_version());
+        let is_ahead = heartbeat.revision > revision;
+        if heartbeat.settings_version > settings_version && !is_ahead {
+            // This host has read a copy of the store that lacks these settings.
+            return self.pull_rows(from, Scope::All, heartbeat.root, now_ms);
+        }
+        if heartbeat.revision < revision {
             return Vec::new();
         }
         if heartbeat.digest != self.catalog.digest() {
-            let is_gap = heartbeat.revision > self.catalog.revision();
-            // This host has rows of later changes, so it differs from a host without them.
-            if !is_gap && self.catalog.has_later_rows() {
-                return Vec::new();
-            }
-            // With equal revisions, the difference may be in any row.
-            let scope = if is_gap { Scope::Changes } else { Scope::All };
-            let mut out = self.pull_rows(from, scope, heartbeat.root, now_ms);
-            if is_gap {
+            if is_ahead {
+                let mut out = self.pull_rows(from, Scope::Changes, heartbeat.root, now_ms);
                 // The children pull from this host while it pulls itself.
                 let age_ms = heartbeat.age_ms + self.config.max_transit_ms;
                 let next = Message::Heartbeat(Heartbeat { age_ms, ..heartbeat });
                 out.extend(self.send_to_children(heartbeat.root, &next));
+                return out;
             }
-            return out;
+            if heartbeat.settings_version < settings_version {
+                return self.on_poll(from, now_ms);
+            }
+            // This host has rows of later changes, so it differs from a host without them.
+            if self.catalog.has_later_rows() {
+                return Vec::new();
+            }
+            // With equal revisions, the difference may be in any row.
+            return self.pull_rows(from, Scope::All, heartbeat.root, now_ms);
         }
         self.transfer.take_if(|transfer| !transfer.is_history);
-        self.catalog.advance(heartbeat.revision);
+        self.advance(heartbeat.revision, heartbeat.settings_version, now_ms);
         let at_ms = now_ms.saturating_sub(heartbeat.age_ms + self.config.max_transit_ms);
         if heartbeat.reader != self.topology.me() {
             self.peer_confirmed_at_ms = self.peer_confirmed_at_ms.max(Some(at_ms));
@@ -339,6 +392,9 @@
             if batch.scope == Scope::All && row.presence == Presence::Listed {
                 // The sender knows every change up to its revision, and lists the row.
                 row.revision = row.revision.max(batch.heartbeat.revision);
+                if row.record.is_settings() {
+                    row.edition = row.edition.max(batch.heartbeat.settings_version);
+                }
             }
             if self.catalog.merge(row.clone()) {
                 changed_rows.push(row);
@@ -361,7 +417,8 @@
         }
         // Rows after a gap do not advance the revision; `on_heartbeat` then pulls the missing ones.
         if batch.after <= self.catalog.revision() {
-            self.catalog.advance(batch.heartbeat.revision);
+            let heartbeat = &batch.heartbeat;
+            self.advance(heartbeat.revision, heartbeat.settings_version, now_ms);
         }
         // The rows were forwarded already; their heartbeat is for this host alone. If it lacks others,
         // its children may lack them too.
@@ -375,7 +432,7 @@
 
     /// Sends rows that changed after the revision `after` to all hosts. Only one window of a larger
     /// change is sent, without its listeners; the hosts pull the rest.
-    fn push(&self, after: u64, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
+    fn push(&self, after: Revision, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
         let Some(heartbeat) = self.heartbeat(self.topology.me(), now_ms) else { return Vec::new() };
         let batch = |range: KeyRange, rows: Vec<Row>| {
             let scope = Scope::Changes;
--- a/crates/relay/src/relay/history.rs
+++ b/crates/relay/src/relay/history.rs
@@ -3,6 +3,7 @@
 //! Digests leave these rows out, so a host cannot tell from heartbeats that it lacks some. It pulls
 //! them from its peers until one that has them all has sent them.
 
+use catalog::Revision;
 use rand::{RngExt, seq::IndexedRandom};
 
 use super::Relay;
@@ -12,7 +13,7 @@
 #[derive(Debug, Default)]
 pub(super) struct History {
     /// The revision from which on this host knows all changes.
-    first_revision: Option<u64>,
+    first_revision: Option<Revision>,
     /// When this host had that revision.
     started_at_ms: u64,
     /// When to pull these rows next, and how long to wait after that.
@@ -41,13 +42,13 @@
     }
 
     /// Whether this host knows every change after `revision`, removals included.
-    pub(super) fn knows_changes_after(&self, revision: u64) -> bool {
+    pub(super) fn knows_changes_after(&self, revision: Revision) -> bool {
         let first_revision = self.history.first_revision;
         self.catalog.is_complete() || first_revision.is_some_and(|first| revision >= first)
     }
 
     /// Handles the end of a transfer of all changes up to `revision`.
-    pub(super) fn on_complete_history(&mut self, revision: u64) {
+    pub(super) fn on_complete_history(&mut self, revision: Revision) {
         // After an earlier revision, a target may have come and vanished before this host's first.
         let first_revision = self.history.first_revision.unwrap_or(self.catalog.revision());
         if revision >= first_revision {
--- a/crates/relay/src/relay/transfers.rs
+++ b/crates/relay/src/relay/transfers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Absence, Key, Row};
+use catalog::{Absence, Key, Revision, Row};
 use routing::HostId;
 
 use super::Relay;
@@ -80,7 +80,7 @@
         let is_complete = self.catalog.is_complete();
         let has_changes = match (pull.scope, pull.revision) {
             // The host lacks rows that the store does not list, which no digest shows.
-            (Scope::All, 0) => is_complete,
+            (Scope::All, Revision::ZERO) => is_complete,
             (Scope::All, _) => self.catalog.digest() != pull.digest,
             (Scope::Changes, revision) => {
                 self.catalog.revision() > revision && self.catalog.digest() != pull.digest
@@ -94,7 +94,7 @@
             (Scope::Changes, revision) if self.knows_changes_after(revision) => {
                 (Scope::Changes, revision)
             }
-            _ if is_complete => (Scope::All, 0),
+            _ if is_complete => (Scope::All, Revision::ZERO),
             _ => (Scope::All, heartbeat.revision),
         };
         self.window(to, heartbeat, scope, after, pull, None)
@@ -123,8 +123,9 @@
             return Some(Vec::new());
         };
         let age_ms = source.age_ms + now_ms - received_at_ms + self.config.max_transit_ms;
-        let (root, revision) = (HostId(0), transfer.revision);
-        let heartbeat = Heartbeat { root, revision, age_ms, ..source };
+        let (revision, settings_version) = transfer.known?;
+        let root = HostId(0);
+        let heartbeat = Heartbeat { root, revision, settings_version, age_ms, ..source };
         let (after, end) = (pull.revision, transfer.position);
         Some(self.window(to, heartbeat, Scope::Changes, after, pull, end))
     }
@@ -141,7 +142,7 @@
         to: SocketAddr,
         heartbeat: Heartbeat,
         scope: Scope,
-        after: u64,
+        after: Revision,
         pull: Pull,
         end: Option<Key>,
     ) -> Vec<Outgoing> {
@@ -183,8 +184,9 @@
             None if self.transfer.is_some() || batch.range.start.is_some() => return Vec::new(),
             None => {
                 let mut transfer = Transfer::new(from, batch.scope, batch.after, now_ms);
-                transfer.is_history =
-                    batch.scope == Scope::All && batch.after == 0 && !self.catalog.is_complete();
+                transfer.is_history = batch.scope == Scope::All
+                    && batch.after == Revision::ZERO
+                    && !self.catalog.is_complete();
                 transfer
             }
         };
@@ -207,20 +209,22 @@
         batch: &RowBatch,
         now_ms: u64,
     ) -> Vec<Outgoing> {
+        let Some((revision, settings_version)) = transfer.known else { return Vec::new() };
         if transfer.scope == Scope::All {
             let mut keys = transfer.keys;
             keys.sort_unstable();
-            // The senders may have started during an outage and never known the lapsed targets.
             let is_absent = |row: &Row| keys.binary_search(&row.record.key()).is_err();
-            let changed_rows =
-                self.catalog.mark_absent(transfer.revision, Absence::Provisional, is_absent);
+            // The senders may have started during an outage and never known the lapsed targets.
+            let absence = Absence::Provisional;
+            let mut changed_rows = self.catalog.mark_absent(revision, absence, is_absent);
+            changed_rows.extend(self.catalog.mark_removed(revision, settings_version, is_absent));
             self.on_absence_from_peer(&changed_rows, now_ms);
         }
-        if transfer.unlisted_after == 0 {
-            self.on_complete_history(transfer.revision);
+        if transfer.unlisted_after == Revision::ZERO {
+            self.on_complete_history(revision);
         }
         if transfer.scope == Scope::All || transfer.after <= self.catalog.revision() {
-            self.catalog.advance(transfer.revision);
+            self.advance(revision, settings_version, now_ms);
         }
         let heartbeat = Heartbeat { root: transfer.root, ..batch.heartbeat };
         self.on_heartbeat(from, heartbeat, now_ms)
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::Key;
+use catalog::{Key, Revision};
 use routing::HostId;
 
 use crate::{Heartbeat, KeyRange, RowBatch, Scope};
@@ -21,11 +21,12 @@
     pub(crate) peer: SocketAddr,
     /// Which rows are pulled: all, or those that changed after a revision.
     pub(crate) scope: Scope,
-    pub(crate) after: u64,
-    /// The revision up to which the rows include every change, once a batch has arrived.
-    pub(crate) revision: u64,
+    pub(crate) after: Revision,
+    /// The revision up to which the rows include every change, and the version of the settings of
+    /// which they include every row; `None` until a batch has arrived.
+    pub(crate) known: Option<(Revision, u64)>,
     /// The revision after which the rows include those that the store stopped listing.
-    pub(crate) unlisted_after: u64,
+    pub(crate) unlisted_after: Revision,
     /// Whether the transfer is only about rows that the store does not list.
     pub(crate) is_history: bool,
     /// The key up to which the rows have arrived.
@@ -61,13 +62,13 @@
 
 impl Transfer {
     /// Creates the state for a transfer of rows that have been pulled from `peer`.
-    pub(crate) fn new(peer: SocketAddr, scope: Scope, after: u64, now_ms: u64) -> Transfer {
+    pub(crate) fn new(peer: SocketAddr, scope: Scope, after: Revision, now_ms: u64) -> Transfer {
         Transfer {
             peer,
             scope,
             after,
-            revision: u64::MAX,
-            unlisted_after: 0,
+            known: None,
+            unlisted_after: Revision::ZERO,
             is_history: false,
             position: None,
             ranges: Vec::new(),
@@ -97,7 +98,9 @@
 
     /// Adds a batch.
     pub(crate) fn add(&mut self, batch: &RowBatch, now_ms: u64) -> Progress {
-        self.revision = self.revision.min(batch.heartbeat.revision);
+        let (revision, version) = (batch.heartbeat.revision, batch.heartbeat.settings_version);
+        let (known_revision, known_version) = self.known.unwrap_or((revision, version));
+        self.known = Some((known_revision.min(revision), known_version.min(version)));
         self.unlisted_after = self.unlisted_after.max(batch.after);
         if self.scope == Scope::All {
             self.keys.extend(batch.rows.iter().map(|row| row.record.key()));
--- a/crates/relay/tests/false_lapse.rs
+++ b/crates/relay/tests/false_lapse.rs
@@ -4,20 +4,31 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Digest, Key, Presence, Record, Row, TargetId};
+use catalog::{Digest, Key, Presence, Revision, Row, TargetId};
 use relay::{
     Config, Heartbeat, KeyRange, Message, Peer, Relay, Role, RowBatch, Scope, StoreUpdate,
 };
 use routing::HostId;
-use support::target;
+use support::{listed, target};
 
 const ME: HostId = HostId(1);
 const OTHER: HostId = HostId(2);
 const REVISION: u64 = 140;
 
+/// A read of the store at the revision with this number of the first era.
+fn read(
+    number: u64,
+    targets: Vec<Row>,
+    removed: Vec<(Revision, Key)>,
+    valid_at_ms: u64,
+) -> StoreUpdate {
+    let revision = Revision::new(1, number);
+    StoreUpdate { revision, settings: Vec::new(), targets, removed, valid_at_ms }
+}
+
 fn full_listing(now_ms: u64) -> StoreUpdate {
-    let listed: Vec<(u64, Record)> = (1..=3).map(|id| (20 + id, target(id))).collect();
-    StoreUpdate { revision: REVISION, listed, removed: Vec::new(), valid_at_ms: now_ms }
+    let targets = (1..=3).map(|id| listed(20 + id, target(id))).collect();
+    read(REVISION, targets, Vec::new(), now_ms)
 }
 
 /// A host without peers that has followed the store long enough to stay reader.
@@ -37,12 +48,26 @@
 }
 
 /// Another host reports that the target `id` lapsed at `revision`.
-fn report_lapsed(relay: &mut Relay, id: u64, revision: u64, now_ms: u64) {
-    let row = Row { revision, presence: Presence::Lapsed, record: target(id) };
-    let heartbeat =
-        Heartbeat { root: HostId(0), revision, digest: Digest(5), age_ms: 10, reader: OTHER };
+fn report_lapsed(relay: &mut Relay, id: u64, number: u64, now_ms: u64) {
+    let revision = Revision::new(1, number);
+    let row = Row { revision, presence: Presence::Lapsed, ..listed(20 + id, target(id)) };
+    let heartbeat = Heartbeat {
+        root: HostId(0),
+        revision,
+        settings_version: 0,
+        digest: Digest(5),
+        age_ms: 10,
+        reader: OTHER,
+    };
     let (scope, range) = (Scope::Changes, KeyRange::ALL);
-    let batch = RowBatch { heartbeat, scope, after: 0, range, ends_window: true, rows: vec![row] };
+    let batch = RowBatch {
+        heartbeat,
+        scope,
+        after: Revision::ZERO,
+        range,
+        ends_window: true,
+        rows: vec![row],
+    };
     let from: SocketAddr = ([127, 0, 0, 1], 2).into();
     relay.on_message(from, Message::Rows(batch), now_ms);
 }
@@ -92,15 +117,10 @@
 #[test]
 fn removed_stays() {
     let (mut relay, now_ms) = reader();
-    let removed = vec![(REVISION + 2, Key::Target(TargetId(2)))];
+    let removed = vec![(Revision::new(1, REVISION + 2), Key::Target(TargetId(2)))];
     // Written and removed again between two reads.
-    let update = StoreUpdate {
-        revision: REVISION + 3,
-        listed: vec![(REVISION + 1, target(2))],
-        removed,
-        valid_at_ms: now_ms,
-    };
-    relay.on_store_update(update, now_ms);
+    let targets = vec![listed(REVISION + 1, target(2))];
+    relay.on_store_update(read(REVISION + 3, targets, removed, now_ms), now_ms);
     assert_ne!(presence(&relay, 2), Some(Presence::Listed));
 }
 
@@ -113,10 +133,9 @@
     for step in 1..=15 {
         let now_ms = now_ms + step * 100;
         relay.tick(now_ms);
-        let listed = vec![(21, target(1)), (23, target(3))];
-        let removed = vec![(REVISION, Key::Target(TargetId(2)))];
-        let update = StoreUpdate { revision: REVISION, listed, removed, valid_at_ms: now_ms };
-        relay.on_store_update(update, now_ms);
+        let targets = vec![listed(21, target(1)), listed(23, target(3))];
+        let removed = vec![(Revision::new(1, REVISION), Key::Target(TargetId(2)))];
+        relay.on_store_update(read(REVISION, targets, removed, now_ms), now_ms);
         assert_ne!(presence(&relay, 2), Some(Presence::Gone), "{} ms later", step * 100);
     }
 }
--- a/crates/relay/tests/mixed_transfers.rs
+++ b/crates/relay/tests/mixed_transfers.rs
@@ -8,14 +8,17 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use catalog::{Catalog, Key, Listener, Presence, Record, RequestKind, Row, Share};
+use catalog::{
+    Catalog, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Share,
+};
 use relay::{Config, Heartbeat, KeyRange, Message, Peer, Pull, Relay, RowBatch, Scope};
 use routing::HostId;
 use support::target;
 
 const ME: HostId = HostId(1);
 const SENDER: HostId = HostId(2);
-const REVISION: u64 = 140;
+const REVISION: Revision = Revision::new(1, 140);
+const SETTINGS_VERSION: u64 = 21;
 const ROWS_PER_PART: usize = 3;
 
 fn sender_address() -> SocketAddr {
@@ -34,13 +37,16 @@
 }
 
 fn row(presence: Presence, record: Record) -> Row {
-    Row { revision: 20, presence, record }
+    Row { revision: Revision::new(1, 20), edition: 20, presence, record }
 }
 
-/// The listed rows: listeners on the ports 81 to 84 and one target.
+/// The listed rows: listeners on the ports 81 to 84, limits that changed later, and one target.
 fn listed_rows() -> Vec<Row> {
-    let records = (81..=84).map(listener).chain([target(1)]);
-    records.map(|record| row(Presence::Listed, record)).collect()
+    let mut rows: Vec<Row> = (81..=84).map(|port| row(Presence::Listed, listener(port))).collect();
+    let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
+    rows.push(Row { edition: SETTINGS_VERSION, ..row(Presence::Listed, limits) });
+    rows.push(row(Presence::Listed, target(1)));
+    rows
 }
 
 /// The rows of the sender before it deletes the gone listener on port 80.
@@ -57,6 +63,7 @@
     let heartbeat = Heartbeat {
         root: HostId(0),
         revision: REVISION,
+        settings_version: SETTINGS_VERSION,
         digest: catalog.digest(),
         age_ms: 10,
         reader: SENDER,
@@ -70,7 +77,7 @@
         let range = KeyRange { start, end };
         start = end;
         let rows = rows.to_vec();
-        let batch = RowBatch { heartbeat, scope, after: 0, range, ends_window, rows };
+        let batch = RowBatch { heartbeat, scope, after: Revision::ZERO, range, ends_window, rows };
         out.push(Message::Rows(batch));
     }
     out
@@ -81,7 +88,7 @@
     let mut relay = Relay::new(Config::default(), ME, 1, 0, 7);
     let peer = Peer { id: SENDER, address: sender_address(), domain_seed: 1 };
     relay.set_peers(vec![peer]);
-    let known = &listed_rows()[..4];
+    let known = &listed_rows()[..5];
     for message in transfer(Scope::Changes, known) {
         relay.on_message(sender_address(), message, now_ms);
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -5,9 +5,12 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use catalog::{Key, Listener, Presence, Record, RequestKind, Share, Stage, Target, TargetId};
+use catalog::{
+    Catalog, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Share, Stage,
+    Target, TargetId,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use relay::{Config, Message, Outgoing, Peer, Relay, Role, StoreUpdate};
+use relay::{Config, Message, Outgoing, Peer, Relay, Role, Settings, StoreUpdate};
 use routing::HostId;
 
 pub use self::link::LinkConfig;
@@ -36,6 +39,12 @@
     })
 }
 
+/// The row of a record that was written at the revision with this number of the first era.
+pub fn listed(number: u64, record: Record) -> Row {
+    let (revision, edition) = (Revision::new(1, number), number);
+    Row { revision, edition, presence: Presence::Listed, record }
+}
+
 /// The listener on this port, whose flows go to the service `service_seed`.
 pub fn listener(port: u16, service_seed: u64) -> Record {
     Record::Listener(Listener {
@@ -61,6 +70,8 @@
     relay: Relay,
     next_read_ms: u64,
     is_paused: bool,
+    /// Whether the host does not reach the store.
+    has_lost_store: bool,
     /// The host's link in each direction; without one, messages take a random time.
     links: Option<(Link, Link)>,
 }
@@ -72,6 +83,16 @@
     message: Message,
 }
 
+/// What the store holds.
+#[derive(Debug, Clone, Default)]
+pub struct Contents {
+    revision: u64,
+    /// The announcements, each with the number of its revision and its edition.
+    targets: Vec<(u64, u64, Record)>,
+    /// The settings, with the number of their revision and their version.
+    settings: Option<(u64, u64, Vec<Record>)>,
+}
+
 /// The hosts of all failure domains.
 pub struct Fleet {
     config: Config,
@@ -85,9 +106,13 @@
     /// The time that messages wait in the receive queue of each host, in milliseconds.
     pub queue_ms: Vec<u64>,
     pub store: Store,
-    /// The records in the store, each with the revision at which it was written.
-    listed: Vec<(u64, Record)>,
-    pub revision: u64,
+    /// The era of the store.
+    pub era: u64,
+    contents: Contents,
+    /// What each writer wrote last.
+    written: Contents,
+    /// The number of settings and announcements written so far, which are their editions.
+    writes: u64,
     pub now_ms: u64,
     /// Number of reads of the store by all hosts, failed ones included.
     pub reads: usize,
@@ -99,6 +124,44 @@
     SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))
 }
 
+impl Contents {
+    fn remove(&mut self, id: u64) {
+        self.targets.retain(|entry| entry.2.key() != Key::Target(TargetId(id)));
+    }
+
+    fn lists(&self, key: Key) -> bool {
+        self.targets.iter().any(|entry| entry.2.key() == key)
+    }
+
+    /// A full listing of the store by a host with `catalog`.
+    fn read(&self, era: u64, catalog: &Catalog, now_ms: u64) -> StoreUpdate {
+        let revision = Revision::new(era, self.revision);
+        let known = catalog.rows().iter().map(|row| row.record.key());
+        let removed = known
+            .filter(|key| matches!(key, Key::Target(_)) && !self.lists(*key))
+            .map(|key| (revision, key))
+            .collect();
+        let targets = self.targets.iter().map(|(number, edition, record)| Row {
+            revision: Revision::new(era, *number),
+            edition: *edition,
+            presence: Presence::Listed,
+            record: record.clone(),
+        });
+        let settings = self.settings.iter().map(|(number, version, records)| Settings {
+            version: *version,
+            revision: Revision::new(era, *number),
+            records: records.clone(),
+        });
+        StoreUpdate {
+            revision,
+            settings: settings.collect(),
+            targets: targets.collect(),
+            removed,
+            valid_at_ms: now_ms,
+        }
+    }
+}
+
 impl Fleet {
     /// Creates `hosts` hosts, spread round-robin over `domains` failure domains.
     pub fn new(hosts: usize, domains: u64, seed: u64) -> Fleet {
@@ -127,6 +190,7 @@
                     relay,
                     next_read_ms: 0,
                     is_paused: false,
+                    has_lost_store: false,
                     links: None,
                 }
             })
@@ -140,8 +204,10 @@
             rng: StdRng::seed_from_u64(seed),
             loss_percent: 0,
             store: Store::Up,
-            listed: Vec::new(),
-            revision: 1,
+            era: 1,
+            contents: Contents { revision: 1, ..Contents::default() },
+            written: Contents::default(),
+            writes: 0,
             now_ms: 0,
             reads: 0,
             sent_bytes: 0,
@@ -157,30 +223,82 @@
 
     /// Writes the settings, which replace all earlier ones.
     pub fn write_settings(&mut self, settings: &[Record]) {
-        self.revision += 1;
-        self.listed.retain(|entry| matches!(entry.1, Record::Target(_)));
-        self.listed.extend(settings.iter().map(|record| (self.revision, record.clone())));
+        self.writes += 1;
+        let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
+        let records = std::iter::once(limits).chain(settings.iter().cloned()).collect();
+        self.put_settings(self.writes, records);
+    }
+
+    fn put_settings(&mut self, version: u64, records: Vec<Record>) {
+        self.contents.revision += 1;
+        self.contents.settings = Some((self.contents.revision, version, records));
+        self.written.settings.clone_from(&self.contents.settings);
+    }
+
+    /// The store's revision.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.era, self.contents.revision)
+    }
+
+    /// A copy of what the store holds.
+    pub fn copy_store(&self) -> Contents {
+        self.contents.clone()
+    }
+
+    /// The store returns with what it held at the time of the copy, in a new era.
+    pub fn restore_store(&mut self, copy: &Contents) {
+        self.era += 1;
+        self.contents = copy.clone();
+    }
+
+    /// Every writer writes again what it wrote last, whatever the store has lost.
+    pub fn rewrite_store(&mut self) {
+        let written = std::mem::take(&mut self.written);
+        self.contents.targets.retain(|entry| written.lists(entry.2.key()));
+        for (_, _, record) in written.targets {
+            self.write_target(record);
+        }
+        if let Some((_, version, records)) = written.settings {
+            self.put_settings(version, records);
+        }
+    }
+
+    /// A target ends without a word, and never writes again.
+    pub fn end_silently(&mut self, id: u64) {
+        self.written.remove(id);
     }
 
     /// Writes the announcement of a target.
     pub fn announce(&mut self, id: u64) {
-        self.revision += 1;
-        self.listed.retain(|entry| entry.1.key() != Key::Target(TargetId(id)));
-        self.listed.push((self.revision, target(id)));
+        self.write_target(target(id));
     }
 
     /// Announces that a target leaves.
     pub fn announce_leaving(&mut self, id: u64) {
-        self.announce(id);
-        if let Some((_, Record::Target(target))) = self.listed.last_mut() {
-            target.stage = Stage::Draining;
+        let Record::Target(target) = target(id) else { panic!("a target is a target") };
+        self.write_target(Record::Target(Target { stage: Stage::Draining, ..target }));
+    }
+
+    fn write_target(&mut self, record: Record) {
+        self.contents.revision += 1;
+        self.writes += 1;
+        let entry = (self.contents.revision, self.writes, record);
+        for contents in [&mut self.contents, &mut self.written] {
+            contents.targets.retain(|other| other.2.key() != entry.2.key());
+            contents.targets.push(entry.clone());
         }
     }
 
     /// Removes the announcement of a target.
     pub fn remove(&mut self, id: u64) {
-        self.revision += 1;
-        self.listed.retain(|entry| entry.1.key() != Key::Target(TargetId(id)));
+        self.contents.revision += 1;
+        self.contents.remove(id);
+        self.written.remove(id);
+    }
+
+    /// Cuts a host off from the store, or ends that.
+    pub fn lose_store(&mut self, index: usize, is_lost: bool) {
+        self.hosts[index].has_lost_store = is_lost;
     }
 
     /// Pauses or resumes a host.
@@ -304,24 +422,11 @@
         if host.relay.role() == Role::Reader && now_ms >= host.next_read_ms {
             host.next_read_ms = now_ms + READ_MS;
             self.reads += 1;
-            match self.store {
+            let store = if host.has_lost_store { Store::Down } else { self.store };
+            match store {
                 Store::Down => host.relay.on_store_failure(),
                 Store::Up => {
-                    let removed = host
-                        .relay
-                        .catalog()
-                        .rows()
-                        .iter()
-                        .map(|row| row.record.key())
-                        .filter(|key| self.listed.iter().all(|entry| entry.1.key() != *key))
-                        .map(|key| (self.revision, key))
-                        .collect();
-                    let update = StoreUpdate {
-                        revision: self.revision,
-                        listed: self.listed.clone(),
-                        removed,
-                        valid_at_ms: now_ms,
-                    };
+                    let update = self.contents.read(self.era, host.relay.catalog(), now_ms);
                     out.extend(host.relay.on_store_update(update, now_ms));
                 }
             }
--- a/crates/relay/tests/unlisted_rows.rs
+++ b/crates/relay/tests/unlisted_rows.rs
@@ -8,12 +8,12 @@
 
 use std::net::SocketAddr;
 
-use catalog::Presence;
+use catalog::{Presence, Revision};
 use relay::{
     Config, Heartbeat, KeyRange, Message, Peer, Pull, Relay, RowBatch, Scope, StoreUpdate,
 };
 use routing::HostId;
-use support::{Fleet, Store, target};
+use support::{Fleet, Store, listed, target};
 
 const HOSTS: usize = 30;
 /// The targets whose announcements lapse.
@@ -126,8 +126,14 @@
 fn started_host(revision: u64) -> Relay {
     let mut relay = Relay::new(Config::default(), HostId(1), 1, 0, 7);
     relay.set_peers(vec![Peer { id: HostId(2), address: peer_address(), domain_seed: 1 }]);
-    let listed = vec![(20, target(1))];
-    relay.on_store_update(StoreUpdate { revision, listed, removed: vec![], valid_at_ms: 100 }, 100);
+    let update = StoreUpdate {
+        revision: Revision::new(1, revision),
+        settings: vec![],
+        targets: vec![listed(20, target(1))],
+        removed: vec![],
+        valid_at_ms: 100,
+    };
+    relay.on_store_update(update, 100);
     relay
 }
 
@@ -135,14 +141,16 @@
 fn is_complete_after(relay: &mut Relay, revision: u64) -> bool {
     let heartbeat = Heartbeat {
         root: HostId(0),
-        revision,
+        revision: Revision::new(1, revision),
+        settings_version: 0,
         digest: relay.catalog().digest(),
         age_ms: 10,
         reader: HostId(2),
     };
     let rows = relay.catalog().rows().to_vec();
     let (scope, range) = (Scope::All, KeyRange::ALL);
-    let batch = RowBatch { heartbeat, scope, after: 0, range, ends_window: true, rows };
+    let batch =
+        RowBatch { heartbeat, scope, after: Revision::ZERO, range, ends_window: true, rows };
     relay.on_message(peer_address(), Message::Rows(batch), 200);
     relay.catalog().is_complete()
 }
--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use catalog::Presence;
+use catalog::{Presence, Revision};
 use proptest::{prelude::*, test_runner::RngSeed};
 use support::{Fleet, Store};
 
@@ -147,9 +147,9 @@
 fn check(seed: u64, loss_percent: u32, steps: &[u8]) -> Result<(), TestCaseError> {
     let mut fleet = Fleet::new(8, 2, seed);
     fleet.loss_percent = loss_percent;
-    let mut revisions = vec![0; fleet.len()];
+    let mut revisions = vec![Revision::ZERO; fleet.len()];
     // Time and revision of each write: a view that claims to be current must include it.
-    let mut written: Vec<(u64, u64)> = Vec::new();
+    let mut written: Vec<(u64, Revision)> = Vec::new();
     for step in steps {
         match step % 6 {
             0 | 1 => fleet.announce(u64::from(*step) % 5 + 1),
@@ -161,7 +161,7 @@
             4 => fleet.pause(usize::from(*step) % 8, true),
             _ => (0..8).for_each(|index| fleet.pause(index, false)),
         }
-        written.push((fleet.now_ms, fleet.revision));
+        written.push((fleet.now_ms, fleet.revision()));
         let mut failure = None;
         fleet.run(u64::from(*step) * 8 + 40, |fleet| {
             for (index, highest) in revisions.iter_mut().enumerate() {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -15,6 +15,13 @@
     Refused(u16),
     /// The store no longer has the requested history of changes.
     HistoryLost,
+    /// The store answered from an earlier era than it did before.
+    EarlierEra {
+        /// The era of the answer; 0 if it named none.
+        era: u64,
+        /// The latest era that is known.
+        known_era: u64,
+    },
 }
 
 impl StoreError {
@@ -26,6 +33,7 @@
             StoreError::Protocol(_) => 203,
             StoreError::Refused(_) => 204,
             StoreError::HistoryLost => 205,
+            StoreError::EarlierEra { .. } => 206,
         }
     }
 }
@@ -39,6 +47,9 @@
             StoreError::Protocol(cause) => write!(f, "{code}: unexpected answer: {cause}"),
             StoreError::Refused(status) => write!(f, "{code}: refused with status {status}"),
             StoreError::HistoryLost => write!(f, "{code}: the history was discarded"),
+            StoreError::EarlierEra { era, known_era } => {
+                write!(f, "{code}: the answer is from era {era}, before era {known_era}")
+            }
         }
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -8,7 +8,7 @@
 
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body::Bytes, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, body::Bytes, body::Incoming};
 use smol::{Timer, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 
@@ -24,6 +24,8 @@
     pub status: u16,
     /// The index in the header `x-consul-index`, or 0 if there is none.
     pub(crate) index: u64,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -214,7 +216,7 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
-    let mut incoming = raw_response.into_body();
+    let (head, mut incoming) = raw_response.into_parts();
     let mut body = Vec::new();
     part_at.set(Instant::now());
     while let Some(frame) = incoming.frame().await {
@@ -224,5 +226,5 @@
             body.extend_from_slice(data);
         }
     }
-    Ok(HttpResponse { status, index, body })
+    Ok(HttpResponse { status, index, headers: head.headers, body })
 }
--- a/crates/store/src/ranges.rs
+++ b/crates/store/src/ranges.rs
@@ -2,6 +2,8 @@
 
 use std::{future::Future, time::Duration};
 
+use catalog::Revision;
+
 use crate::StoreError;
 
 /// A key with its value.
@@ -12,7 +14,7 @@
     /// The value.
     pub value: Vec<u8>,
     /// The store's revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// All items whose keys start with a prefix.
@@ -21,7 +23,7 @@
     /// The items, sorted by key.
     pub items: Vec<Item>,
     /// The store's revision before the first page was read; later changes may be included.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// One change of a key.
@@ -34,7 +36,7 @@
         /// The key.
         key: String,
         /// The store's revision of the removal.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -44,23 +46,27 @@
     /// The changes, in order.
     pub changes: Vec<Change>,
     /// The store's revision up to which the list is complete.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A store that lists the keys that start with a prefix and reports their changes.
 pub trait RangeStore {
     /// Lists every item whose key starts with `prefix`.
-    fn list(&mut self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>>;
+    ///
+    /// Fails with [`StoreError::EarlierEra`] if the store answers from an era before `era`.
+    fn list(&mut self, prefix: &str, era: u64)
+    -> impl Future<Output = Result<Listing, StoreError>>;
 
     /// Waits up to `wait` for changes after `revision` of keys that start with `prefix`. The list is
     /// empty if there are none.
     ///
-    /// Fails with [`StoreError::HistoryLost`] if the store has discarded these changes; the prefix
-    /// then has to be listed again.
+    /// Fails with [`StoreError::HistoryLost`] if the store has discarded these changes, or has begun
+    /// another era since; the prefix then has to be listed again. Fails with
+    /// [`StoreError::EarlierEra`] if the store answers from an era before that of `revision`.
     fn watch(
         &mut self,
         prefix: &str,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<ChangeList, StoreError>>;
 }
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 mod placement;
 mod targets;
 
-use catalog::{Directory, Listener, Presence, TargetId};
+use catalog::{Directory, Listener, Presence, Revision, TargetId};
 use hashbrown::HashMap;
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -75,7 +75,7 @@
     /// Resets to be sent without a packet from the caller.
     pending_resets: Vec<Segment>,
     /// The revision of the view in force.
-    revision: u64,
+    revision: Revision,
     rng: StdRng,
 }
 
@@ -117,7 +117,7 @@
             has_load_changes: false,
             has_new_deaths: false,
             pending_resets: Vec::new(),
-            revision: 0,
+            revision: Revision::ZERO,
             rng: StdRng::seed_from_u64(seed),
         }
     }
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use catalog::{RequestKind, TargetId};
+use catalog::{RequestKind, Revision, TargetId};
 use routing::HostId;
 
 use crate::{FlowKey, Standing};
@@ -82,7 +82,7 @@
         /// Whether the target is in this host's failure domain.
         is_near: bool,
         /// The revision of the view.
-        revision: u64,
+        revision: Revision,
         /// The age of the view, in milliseconds.
         view_age_ms: u64,
     },
@@ -95,7 +95,7 @@
         /// The reason.
         reason: Reason,
         /// The revision of the view.
-        revision: u64,
+        revision: Revision,
         /// The age of the view, in milliseconds.
         view_age_ms: u64,
     },
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use catalog::{Presence, Row, TargetId};
+use catalog::{Presence, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, key, rows};
 use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
@@ -101,7 +101,9 @@
     let gone = rows(&[(1, NEAR)])
         .into_iter()
         .map(|row| match row.record {
-            catalog::Record::Target(_) => Row { revision: 2, presence: Presence::Gone, ..row },
+            catalog::Record::Target(_) => {
+                Row { revision: Revision::new(1, 2), presence: Presence::Gone, ..row }
+            }
             _ => row,
         })
         .collect();
@@ -184,7 +186,7 @@
     let (mut host, tag) = busy_host();
     let lapsed = rows(&[(1, NEAR)])
         .into_iter()
-        .map(|row| Row { revision: 2, presence: Presence::Lapsed, ..row })
+        .map(|row| Row { revision: Revision::new(1, 2), presence: Presence::Lapsed, ..row })
         .collect();
     host.set_rows(lapsed);
     assert!(host.dispatcher.take_resets().is_empty(), "only the store was unavailable");
--- a/crates/tagged/tests/late_verdict.rs
+++ b/crates/tagged/tests/late_verdict.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use catalog::{FlowTag, Record, Row, TargetId};
+use catalog::{FlowTag, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, Verdict};
 
@@ -45,7 +45,7 @@
     for row in &mut restarted {
         if let Record::Target(target) = &mut row.record {
             target.started_at_ms = 2_000;
-            row.revision = 2;
+            row.revision = Revision::new(1, 2);
         }
     }
     host.set_rows(restarted);
--- a/crates/tagged/tests/relisted_target.rs
+++ b/crates/tagged/tests/relisted_target.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use catalog::{FlowTag, Presence, Record, Row, TargetId};
+use catalog::{FlowTag, Presence, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::Verdict;
 
@@ -14,7 +14,7 @@
 fn with_presence(revision: u64, presence: Presence) -> Vec<Row> {
     let mut rows = rows(&[(1, NEAR)]);
     for row in rows.iter_mut().filter(|row| matches!(row.record, Record::Target(_))) {
-        (row.revision, row.presence) = (revision, presence);
+        (row.revision, row.presence) = (Revision::new(1, revision), presence);
     }
     rows
 }
--- a/crates/tagged/tests/restarted_target.rs
+++ b/crates/tagged/tests/restarted_target.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use catalog::{FlowTag, Presence, Record, Row, TargetId};
+use catalog::{FlowTag, Presence, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, Verdict};
 
@@ -16,7 +16,7 @@
     for row in &mut rows {
         if let Record::Target(target) = &mut row.record {
             target.started_at_ms = started_at_ms;
-            (row.revision, row.presence) = (revision, presence);
+            (row.revision, row.presence) = (Revision::new(1, revision), presence);
         }
     }
     rows
--- a/crates/tagged/tests/reused_address.rs
+++ b/crates/tagged/tests/reused_address.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use catalog::{FlowTag, Presence, Record, Row, TargetId};
+use catalog::{FlowTag, Presence, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict, View};
 
@@ -119,7 +119,7 @@
         .into_iter()
         .map(|row| match &row.record {
             Record::Target(target) if target.id == DEAD => {
-                Row { revision: 2, presence: Presence::Gone, ..row }
+                Row { revision: Revision::new(1, 2), presence: Presence::Gone, ..row }
             }
             _ => row,
         })
--- a/crates/tagged/tests/stale_absence.rs
+++ b/crates/tagged/tests/stale_absence.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use catalog::{Presence, Record, Row, TargetId};
+use catalog::{Presence, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, Verdict};
 
@@ -17,7 +17,7 @@
     host.now_ms += 1_000;
     // Flows that come here are reset, so that this host has none when the target is unlisted.
     let unlisted = rows(&[(1, NEAR)]).into_iter().map(|row| match row.record {
-        Record::Target(_) => Row { revision: 2, presence: Presence::Gone, ..row },
+        Record::Target(_) => Row { revision: Revision::new(1, 2), presence: Presence::Gone, ..row },
         _ => row,
     });
     host.set_rows(unlisted.collect());
--- a/crates/tagged/tests/standing_causes.rs
+++ b/crates/tagged/tests/standing_causes.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use catalog::{Presence, Record, Row, TargetId};
+use catalog::{Presence, Record, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, rows};
 use tagged::{CheckVerdict, Event, HostLoad, Standing, StandingCause, TargetLoad, View};
@@ -85,7 +85,7 @@
             let is_target = |row: &Row| matches!(row.record, Record::Target(_));
             let mut gone = rows(&[(1, NEAR)]);
             for row in gone.iter_mut().filter(|row| is_target(row)) {
-                (row.revision, row.presence) = (2, Presence::Gone);
+                (row.revision, row.presence) = (Revision::new(1, 2), Presence::Gone);
             }
             host.set_rows(gone);
         },
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Catalog, Directory, FlowTag, Limits, Listener, Presence, Record, RequestKind, Row, Share,
-    Stage, Target, TargetId,
+    Catalog, Directory, FlowTag, Limits, Listener, Presence, Record, RequestKind, Revision, Row,
+    Share, Stage, Target, TargetId,
 };
 use tagged::{CheckVerdict, Config, Dispatcher, FlowKey, Segment, SegmentKind, Verdict, View};
 
@@ -31,7 +31,12 @@
     [limits, listener]
         .into_iter()
         .chain(targets)
-        .map(|record| Row { revision: 1, presence: Presence::Listed, record })
+        .map(|record| Row {
+            revision: Revision::new(1, 1),
+            edition: 1,
+            presence: Presence::Listed,
+            record,
+        })
         .collect()
 }
 
@@ -54,7 +59,7 @@
     let mut catalog = Catalog::default();
     catalog.mark_complete();
     for row in rows {
-        catalog.advance(row.revision);
+        catalog.advance(row.revision, 0);
         catalog.merge(row);
     }
     Directory::new(&catalog)
--- a/crates/tagged/tests/unlisted_rumor.rs
+++ b/crates/tagged/tests/unlisted_rumor.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use catalog::{Presence, Row, TargetId};
+use catalog::{Presence, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, rows};
 use tagged::{HostLoad, TargetLoad, Verdict};
@@ -18,7 +18,9 @@
     host.dispatcher.on_report(load, host.now_ms);
     host.now_ms += 1_000;
     let unlisted = rows(&[(1, NEAR)]).into_iter().map(|row| match row.record {
-        catalog::Record::Target(_) => Row { revision: 2, presence: Presence::Gone, ..row },
+        catalog::Record::Target(_) => {
+            Row { revision: Revision::new(1, 2), presence: Presence::Gone, ..row }
+        }
         _ => row,
     });
     host.set_rows(unlisted.collect());
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -22,7 +22,7 @@
   sequence @1 :UInt64;
   # The host that a probe or its answer is about.
   subject  @2 :UInt64;
-  # The sender's revision of the settings or, with tagged affinity, of the catalog.
+  # The sender's revision of the settings; 0 with tagged affinity.
   revision @3 :UInt64;
   members  @4 :List(Member);
 }
@@ -81,6 +81,10 @@
   ageMs    @3 :UInt64;
   # The host whose read of the store last confirmed the catalog; ageMs counts from that read.
   reader   @4 :UInt64;
+  # The era of the store that the revision belongs to.
+  era      @5 :UInt64;
+  # The version of the settings of which the sender knows every row.
+  settingsVersion @6 :UInt64;
 }
 
 # Identifies a row of the catalog.
@@ -100,6 +104,8 @@
   start    @3 :RowKey;
   # The maximum number of batches to send.
   batches  @4 :UInt8;
+  # The era that the revision belongs to.
+  era      @5 :UInt64;
 }
 
 # The share of a listener's flows that a service receives.
@@ -145,6 +151,10 @@
       startedAtMs @21 :UInt64;
     }
   }
+  # The era that the revision belongs to.
+  era      @22 :UInt64;
+  # The version of the settings, or the number of the target's announcements since its start.
+  edition  @23 :UInt64;
 }
 
 # The rows of a range of keys: those that changed after a revision, or all.
@@ -160,6 +170,8 @@
   # The receiver has to pull what follows.
   endsWindow @5 :Bool;
   rows       @6 :List(Row);
+  # The era that `after` belongs to.
+  afterEra   @7 :UInt64;
 }
 
 # The flows of one target as counted by the sender.
--- a/crates/wire/src/catalog_rows.rs
+++ b/crates/wire/src/catalog_rows.rs
@@ -3,8 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use catalog::{
-    Digest, Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share, Stage,
-    Target, TargetId,
+    Digest, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Service, Share,
+    Stage, Target, TargetId,
 };
 use relay::{Heartbeat, KeyRange, Message, Pull, RowBatch, Scope};
 use routing::HostId;
@@ -20,7 +20,8 @@
         Message::Poll => root.set_poll(()),
         Message::Pull(pull) => {
             let mut out = root.init_pull();
-            out.set_revision(pull.revision);
+            out.set_revision(pull.revision.number);
+            out.set_era(pull.revision.era);
             out.set_digest(pull.digest.0);
             out.set_all(pull.scope == Scope::All);
             out.set_batches(pull.batches);
@@ -33,7 +34,8 @@
 pub(crate) fn decode_heartbeat(heartbeat: heartbeat::Reader<'_>) -> Heartbeat {
     Heartbeat {
         root: HostId(heartbeat.get_root()),
-        revision: heartbeat.get_revision(),
+        revision: Revision::new(heartbeat.get_era(), heartbeat.get_revision()),
+        settings_version: heartbeat.get_settings_version(),
         digest: Digest(heartbeat.get_digest()),
         age_ms: heartbeat.get_age_ms(),
         reader: HostId(heartbeat.get_reader()),
@@ -42,7 +44,7 @@
 
 pub(crate) fn decode_pull(pull: pull::Reader<'_>) -> Result<Pull, DecodeError> {
     Ok(Pull {
-        revision: pull.get_revision(),
+        revision: Revision::new(pull.get_era(), pull.get_revision()),
         digest: Digest(pull.get_digest()),
         scope: scope(pull.get_all()),
         start: decode_key(pull.get_start()?)?,
@@ -55,7 +57,7 @@
     Ok(RowBatch {
         heartbeat: decode_heartbeat(batch.get_heartbeat()?),
         scope: scope(batch.get_all()),
-        after: batch.get_after(),
+        after: Revision::new(batch.get_after_era(), batch.get_after()),
         range: KeyRange {
             start: decode_key(batch.get_start()?)?,
             end: decode_key(batch.get_end()?)?,
@@ -71,7 +73,9 @@
 
 fn encode_heartbeat(mut out: heartbeat::Builder<'_>, heartbeat: &Heartbeat) {
     out.set_root(heartbeat.root.0);
-    out.set_revision(heartbeat.revision);
+    out.set_revision(heartbeat.revision.number);
+    out.set_era(heartbeat.revision.era);
+    out.set_settings_version(heartbeat.settings_version);
     out.set_digest(heartbeat.digest.0);
     out.set_age_ms(heartbeat.age_ms);
     out.set_reader(heartbeat.reader.0);
@@ -79,7 +83,8 @@
 
 fn encode_batch(mut out: row_batch::Builder<'_>, batch: &RowBatch) {
     encode_heartbeat(out.reborrow().init_heartbeat(), &batch.heartbeat);
-    out.set_after(batch.after);
+    out.set_after(batch.after.number);
+    out.set_after_era(batch.after.era);
     out.set_all(batch.scope == Scope::All);
     encode_key(out.reborrow().init_start(), batch.range.start);
     encode_key(out.reborrow().init_end(), batch.range.end);
@@ -117,7 +122,9 @@
 }
 
 fn encode_row(mut out: row::Builder<'_>, row: &Row) {
-    out.set_revision(row.revision);
+    out.set_revision(row.revision.number);
+    out.set_era(row.revision.era);
+    out.set_edition(row.edition);
     out.set_presence(match row.presence {
         Presence::Listed => 0,
         Presence::Lapsed => 1,
@@ -195,7 +202,8 @@
             started_at_ms: target.get_started_at_ms(),
         }),
     };
-    Ok(Row { revision: row.get_revision(), presence, record })
+    let revision = Revision::new(row.get_era(), row.get_revision());
+    Ok(Row { revision, edition: row.get_edition(), presence, record })
 }
 
 fn decode_listener(listener: row::listener::Reader<'_>) -> Result<Listener, DecodeError> {
--- a/crates/wire/tests/catalog_messages.rs
+++ b/crates/wire/tests/catalog_messages.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Digest, Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share, Stage,
-    Target, TargetId,
+    Digest, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Service, Share,
+    Stage, Target, TargetId,
 };
 use relay::{Heartbeat, KeyRange, Message, Pull, RowBatch, Scope};
 use routing::HostId;
@@ -43,7 +43,11 @@
     ];
     let presences = [Presence::Listed, Presence::Gone, Presence::Lapsed, Presence::Listed];
     let rows = records.into_iter().zip(presences).zip(140..);
-    rows.map(|((record, presence), revision)| Row { revision, presence, record }).collect()
+    rows.map(|((record, presence), number)| {
+        let (revision, edition) = (Revision::new(3, number), number - 100);
+        Row { revision, edition, presence, record }
+    })
+    .collect()
 }
 
 fn assert_round_trip(message: Message) {
@@ -59,14 +63,15 @@
 
 fn heartbeat() -> Heartbeat {
     let (root, reader) = (HostId(5), HostId(6));
-    Heartbeat { root, revision: 200, digest: Digest(99), age_ms: 12, reader }
+    let revision = Revision::new(4, 200);
+    Heartbeat { root, revision, settings_version: 17, digest: Digest(99), age_ms: 12, reader }
 }
 
 #[test]
 fn pulls() {
     assert_round_trip(Message::Pull(Pull::HISTORY));
     for start in rows().iter().map(|row| row.record.key()) {
-        let (revision, digest, scope) = (200, Digest(99), Scope::Changes);
+        let (revision, digest, scope) = (Revision::new(4, 200), Digest(99), Scope::Changes);
         let (start, batches) = (Some(start), 4);
         assert_round_trip(Message::Pull(Pull { revision, digest, scope, start, batches }));
     }
@@ -80,7 +85,7 @@
         assert_round_trip(Message::Rows(RowBatch {
             heartbeat: heartbeat(),
             scope: Scope::All,
-            after: 140,
+            after: Revision::new(3, 140),
             range: KeyRange { start, end },
             ends_window: end.is_none(),
             rows: rows(),
