--- a/crates/xtask/src/soak.rs
+++ b/crates/xtask/src/soak.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr, bail, ensure};
-use platform_stand_ins::soak;
+use platform_stand_ins::{SoakConfig, soak};
 
 /// run hosts as processes under random faults and check what callers and targets observe
 #[derive(Debug, FromArgs)]
@@ -34,7 +34,8 @@
     for seed in options.seed..options.seed + options.runs {
         let folder = Path::new(&target).join(format!("soak/{seed}-{}", std::process::id()));
         let duration = Duration::from_secs(options.seconds);
-        let report = soak(&program, &folder, seed, duration)
+        let config = SoakConfig { seed, duration, ..SoakConfig::default() };
+        let report = soak(&program, &folder, config)
             .wrap_err_with(|| format!("seed {seed}; logs are in {}", folder.display()))?;
         let failures = report.failures();
         let (during_faults, after_faults) = (report.during_faults, report.after_faults);
