Give a checked target more time if its reference answers late

A target now gets four times as long as the reference took. Event 1404 tells the time of the reference, and the cause without calling the target a store.

--- a/crates/edge/src/checks.rs
+++ b/crates/edge/src/checks.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::{self, Future},
+    net::SocketAddr,
     pin::Pin,
     task::Poll,
     time::Duration,
@@ -10,7 +11,7 @@
 use catalog::TargetId;
 use smol::Timer;
 use store::StoreError;
-use tagged::{CheckVerdict, DueCheck};
+use tagged::{CheckOutcome, DueCheck, judge_check};
 use telemetry::{Event, field};
 
 use crate::{clock, control_thread::State, shared::Command};
@@ -28,27 +29,35 @@
 const ATTEMPT_DELAY_MS: u64 = 30;
 
 /// Connects to a suspected target and, at the same time, to a reference target. If neither accepts,
-/// the fault may be this host's or its link's, and the verdict is unclear.
+/// the fault may be this host's or its link's, and the verdict is unclear. If the reference accepts
+/// late, the target gets more time.
 pub(crate) async fn check_target(state: State, due: DueCheck) {
     let started_at_ms = clock::now_ms();
     let reference = async {
-        match due.reference {
-            Some(reference) => connect(&state, reference).await.is_ok(),
-            None => true,
-        }
+        let Some(reference) = due.reference else { return Some(0) };
+        let connected = connect(&state, reference).await;
+        connected.ok().map(|()| clock::now_ms() - started_at_ms)
     };
-    let (answer, is_reference_reachable) =
+    let (mut answer, reference_took_ms) =
         smol::future::zip(connect(&state, due.target), reference).await;
-    let (verdict, answer_text) = match answer {
-        Ok(()) => (CheckVerdict::Answered, "connected".to_owned()),
-        Err(error) if is_reference_reachable => (CheckVerdict::Failed, error.to_string()),
-        Err(error) => (CheckVerdict::Unclear, error.to_string()),
+    let mut waited_ms = clock::now_ms() - started_at_ms;
+    let verdict = loop {
+        match judge_check(answer.is_ok(), reference_took_ms, waited_ms) {
+            CheckOutcome::Verdict(verdict) => break verdict,
+            CheckOutcome::Extended(more_ms) => {
+                answer = connect_once(&state, due.target, Duration::from_millis(more_ms)).await;
+                // A refusal comes at once, and is not late.
+                waited_ms += more_ms;
+            }
+        }
     };
+    let answer_text = answer.map_or_else(cause, |()| "connected".to_owned());
     telemetry::emit(
         Event::TargetChecked,
         &[
             field("target", format_args!("{:x}", due.target.0)),
             field("reference", format_args!("{:x}", due.reference.map_or(0, |target| target.0))),
+            field("reference_took_ms", reference_took_ms.map_or(-1, |took_ms| took_ms as i64)),
             field("verdict", format_args!("{verdict:?}")),
             field("answer", answer_text),
             field("took_ms", clock::now_ms() - started_at_ms),
@@ -59,13 +68,34 @@
     let _ = state.shared.commands.0.try_send(command);
 }
 
-async fn connect(state: &State, target: TargetId) -> Result<(), StoreError> {
+/// Why no connection was established.
+fn cause(error: StoreError) -> String {
+    match error {
+        StoreError::Unreachable(cause) => cause,
+        other => other.to_string(),
+    }
+}
+
+fn target_address(state: &State, target: TargetId) -> Result<SocketAddr, StoreError> {
     let unknown_target =
         || StoreError::Unreachable("the target is not in the directory".to_owned());
     let directory = state.shared.directory.load_full().ok_or_else(unknown_target)?;
     let index = directory.find_target(target).ok_or_else(unknown_target)?;
-    // Accepting a connection proves that the target is alive, however long its requests queue.
-    let address = directory.target(index).address.into();
+    Ok(directory.target(index).address.into())
+}
+
+async fn connect_once(
+    state: &State,
+    target: TargetId,
+    timeout: Duration,
+) -> Result<(), StoreError> {
+    store::probe(target_address(state, target)?, timeout).await
+}
+
+/// Connects to a target. Accepting a connection proves that it is alive, however long its requests
+/// queue.
+async fn connect(state: &State, target: TargetId) -> Result<(), StoreError> {
+    let address = target_address(state, target)?;
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let mut attempts = Vec::new();
     for _ in 1..MAX_ATTEMPTS {
--- a/crates/tagged/src/health.rs
+++ b/crates/tagged/src/health.rs
@@ -48,6 +48,35 @@
     Unclear,
 }
 
+/// How many times as long as the reference target the checked one may take to answer.
+const PATIENCE_FACTOR: u64 = 4;
+
+/// What follows from the answers to a check so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckOutcome {
+    /// The check has ended.
+    Verdict(Verdict),
+    /// The target gets this much longer, in milliseconds.
+    Extended(u64),
+}
+
+/// Judges a check after `waited_ms`. `reference_took_ms` says how long the reference target took to
+/// answer; `None` if it did not. On a loaded host or link every answer is late.
+pub fn judge_check(
+    has_answered: bool,
+    reference_took_ms: Option<u64>,
+    waited_ms: u64,
+) -> CheckOutcome {
+    match reference_took_ms {
+        _ if has_answered => CheckOutcome::Verdict(Verdict::Answered),
+        None => CheckOutcome::Verdict(Verdict::Unclear),
+        Some(took_ms) if waited_ms < PATIENCE_FACTOR * took_ms => {
+            CheckOutcome::Extended(PATIENCE_FACTOR * took_ms - waited_ms)
+        }
+        Some(_) => CheckOutcome::Verdict(Verdict::Failed),
+    }
+}
+
 /// A health check to be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DueCheck {
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -29,7 +29,7 @@
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
     event::{Event, FlowReport, LatencySample, Reason, StandingCause},
-    health::{DueCheck, Health, Standing, Verdict as CheckVerdict},
+    health::{CheckOutcome, DueCheck, Health, Standing, Verdict as CheckVerdict, judge_check},
     load::{HostLoad, ReportedLoads, TargetLoad},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
 };
