Pull all windows of a transfer after one revision

A host that heard of an earlier change while it pulled rows, from another reader, pulled the next window as of that change. Such a window did not belong to the transfer, which stood still until it was given up 3 s later. Found by reading; test earlier_push fails without the change. Pulls that wait for a transfer end with it.

--- a/crates/relay/src/relay/transfers.rs
+++ b/crates/relay/src/relay/transfers.rs
@@ -41,6 +41,7 @@
         let mut transfer = Transfer::new(to, scope, self.catalog.revision(), now_ms);
         transfer.root = root;
         self.transfer = Some(transfer);
+        self.waiting_pulls.clear();
         self.pull_window()
     }
 
@@ -65,10 +66,14 @@
     fn pull_window(&mut self) -> Vec<Outgoing> {
         let Some(transfer) = &mut self.transfer else { return Vec::new() };
         transfer.window_batches = transfer.window_batches.min(self.config.batches_per_window);
-        let (to, start, scope) = (transfer.peer, transfer.position, transfer.scope);
+        let (to, scope, start) = (transfer.peer, transfer.scope, transfer.position);
         let batches = transfer.window_batches.min(usize::from(u8::MAX)) as u8;
-        let is_history = transfer.is_history;
-        let request = if is_history { Pull::HISTORY } else { self.pull_request(scope) };
+        // All windows are of changes after the same revision, whatever this host hears meanwhile.
+        let (is_history, revision) = (transfer.is_history, transfer.after);
+        let request = match is_history {
+            true => Pull::HISTORY,
+            false => Pull { revision, ..self.pull_request(scope) },
+        };
         vec![Outgoing { to, message: Message::Pull(Pull { start, batches, ..request }) }]
     }
 
--- /dev/null
+++ b/crates/relay/tests/advanced_transfer.rs
@@ -0,0 +1,78 @@
+//! A transfer of changes during which the host hears of some of them from another one.
+//!
+//! Failure scenario: two hosts read the store. A host pulls many rows from one of them, and the other
+//! pushes an earlier change meanwhile. The rest of the rows is pulled as of a later revision, so that
+//! it no longer belongs to the transfer, which stands still until it is given up.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use catalog::{Key, Limits, Presence, Record, Revision};
+use relay::{
+    Config, Heartbeat, KeyRange, Message, Peer, Relay, RowBatch, Scope, Settings, StoreUpdate,
+};
+use routing::HostId;
+use support::{listed, listener, target};
+
+const ROUTES: u16 = 400;
+
+fn address(id: u64) -> SocketAddr {
+    ([127, 0, 0, 1], id as u16).into()
+}
+
+/// A read of the store at the revision with this number, with `routes` listeners written at it.
+fn read(number: u64, routes: u16) -> StoreUpdate {
+    let revision = Revision::new(1, number);
+    let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
+    let records = std::iter::once(limits).chain((0..routes).map(|port| listener(port, 1)));
+    let settings = vec![Settings { version: number, revision, records: records.collect() }];
+    let targets = vec![listed(20, target(1))];
+    StoreUpdate { revision, settings, targets, removed: Vec::new(), valid_at_ms: 0 }
+}
+
+fn host(id: u64, peer: u64) -> Relay {
+    let mut relay = Relay::new(Config::default(), HostId(id), 1, 0, 7);
+    relay.set_peers(vec![Peer { id: HostId(peer), address: address(peer), domain_seed: 1 }]);
+    relay.on_store_update(read(100, 1), 0);
+    relay
+}
+
+#[test]
+fn earlier_push() {
+    let (mut receiver, mut sender) = (host(1, 2), host(2, 1));
+    let mut to_receiver = sender.on_store_update(read(200, ROUTES), 10);
+    let mut to_sender = Vec::new();
+    // The first window arrives, then a push of another reader, then the rest.
+    for round in 0..20 {
+        for outgoing in to_receiver.drain(..) {
+            to_sender.extend(receiver.on_message(address(2), outgoing.message, 10 + round));
+        }
+        if round == 1 {
+            let heartbeat = Heartbeat {
+                root: HostId(3),
+                revision: Revision::new(1, 120),
+                settings_version: 100,
+                digest: catalog::Digest(5),
+                age_ms: 5,
+                reader: HostId(3),
+            };
+            let rows = vec![listed(120, target(2))];
+            let (scope, range, after) = (Scope::Changes, KeyRange::ALL, Revision::new(1, 100));
+            let batch = RowBatch { heartbeat, scope, after, range, ends_window: true, rows };
+            to_sender.extend(receiver.on_message(address(3), Message::Rows(batch), 10 + round));
+            assert_eq!(receiver.catalog().revision(), Revision::new(1, 120));
+        }
+        for outgoing in to_sender.drain(..).filter(|outgoing| outgoing.to == address(2)) {
+            to_receiver.extend(sender.on_message(address(1), outgoing.message, 10 + round));
+        }
+    }
+    assert_eq!(receiver.catalog().revision(), Revision::new(1, 200));
+    let last = receiver.catalog().get(Key::Listener(listener_address()));
+    assert_eq!(last.map(|row| row.presence), Some(Presence::Listed));
+}
+
+fn listener_address() -> std::net::SocketAddrV4 {
+    let Record::Listener(listener) = listener(ROUTES - 1, 1) else { panic!("a listener") };
+    listener.address
+}
