--- a/crates/relay/tests/eras.rs
+++ b/crates/relay/tests/eras.rs
@@ -47,6 +47,16 @@
     fleet.store = Store::Up;
 }
 
+/// A fleet whose store has just returned from a copy without the later writes.
+fn returned_fleet(seed: u64) -> Fleet {
+    let mut fleet = settled_fleet(seed);
+    let copy = fleet.copy_store();
+    write_later(&mut fleet);
+    interrupt(&mut fleet);
+    fleet.restore_store(&copy);
+    fleet
+}
+
 fn assert_later(fleet: &Fleet, index: usize) {
     let at_ms = fleet.now_ms;
     assert!(fleet.knows(index, &route(2)[0]), "host {index} has older settings at {at_ms}");
@@ -78,11 +88,7 @@
 #[test]
 fn copy_without_writes() {
     for seed in 0..8 {
-        let mut fleet = settled_fleet(seed);
-        let copy = fleet.copy_store();
-        write_later(&mut fleet);
-        interrupt(&mut fleet);
-        fleet.restore_store(&copy);
+        let mut fleet = returned_fleet(seed);
         fleet.run(REWRITE_MS, assert_all_later);
         fleet.rewrite_store();
         fleet.run(IN_FORCE_MS, assert_all_later);
@@ -110,11 +116,7 @@
 #[test]
 fn started_reader() {
     for seed in 0..8 {
-        let mut fleet = settled_fleet(seed);
-        let copy = fleet.copy_store();
-        write_later(&mut fleet);
-        interrupt(&mut fleet);
-        fleet.restore_store(&copy);
+        let mut fleet = returned_fleet(seed);
         let started = fleet.readers()[0];
         fleet.restart(started);
         let assert_others_later = |fleet: &Fleet| {
@@ -162,12 +164,8 @@
 /// A target that never writes again is gone in the end.
 #[test]
 fn lost_target() {
-    let mut fleet = settled_fleet(3);
-    let copy = fleet.copy_store();
-    write_later(&mut fleet);
+    let mut fleet = returned_fleet(3);
     fleet.end_silently(6);
-    interrupt(&mut fleet);
-    fleet.restore_store(&copy);
     fleet.run(REWRITE_MS, |_| {});
     fleet.rewrite_store();
     fleet.run(8_000, |_| {});
--- a/crates/relay/tests/mixed_transfers.rs
+++ b/crates/relay/tests/mixed_transfers.rs
@@ -8,12 +8,10 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use catalog::{
-    Catalog, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Share,
-};
+use catalog::{Catalog, Key, Limits, Presence, Record, Revision, Row};
 use relay::{Config, Heartbeat, KeyRange, Message, Peer, Pull, Relay, RowBatch, Scope};
 use routing::HostId;
-use support::target;
+use support::{listener, target};
 
 const ME: HostId = HostId(1);
 const SENDER: HostId = HostId(2);
@@ -25,24 +23,14 @@
     ([127, 0, 0, 1], 2).into()
 }
 
-fn listener(port: u16) -> Record {
-    Record::Listener(Listener {
-        address: SocketAddrV4::new([198, 18, 0, 1].into(), port),
-        shares: vec![Share { service_seed: 1, weight: 1 }],
-        kind: RequestKind::Idempotent,
-        priority: 1,
-        aim_ms: 250,
-        timeout_ms: 1_500,
-    })
-}
-
 fn row(presence: Presence, record: Record) -> Row {
     Row { revision: Revision::new(1, 20), edition: 20, presence, record }
 }
 
 /// The listed rows: listeners on the ports 81 to 84, limits that changed later, and one target.
 fn listed_rows() -> Vec<Row> {
-    let mut rows: Vec<Row> = (81..=84).map(|port| row(Presence::Listed, listener(port))).collect();
+    let mut rows: Vec<Row> =
+        (81..=84).map(|port| row(Presence::Listed, listener(port, 1))).collect();
     let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
     rows.push(Row { edition: SETTINGS_VERSION, ..row(Presence::Listed, limits) });
     rows.push(row(Presence::Listed, target(1)));
@@ -51,7 +39,7 @@
 
 /// The rows of the sender before it deletes the gone listener on port 80.
 fn rows_with_gone() -> Vec<Row> {
-    std::iter::once(row(Presence::Gone, listener(80))).chain(listed_rows()).collect()
+    std::iter::once(row(Presence::Gone, listener(80, 1))).chain(listed_rows()).collect()
 }
 
 /// The parts of a transfer of `rows`.
