--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -74,3 +74,10 @@
 fn seed_635() {
     check_seed(635);
 }
+
+/// A target announced its leaving while the store did not answer, which the test bed counted as
+/// accepted.
+#[test]
+fn seed_147() {
+    check(SoakConfig { seed: 147, duration: Duration::from_secs(12), has_returns: true });
+}
