--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -40,11 +40,11 @@
     pub history_wait_max_ms: u64,
     /// How many peers a host polls at a time.
     pub poll_fanout: usize,
-    /// Maximum number of rows per datagram; a row takes about 100 bytes.
+    /// Maximum number of rows per datagram; a row takes about 50 bytes.
     pub rows_per_batch: usize,
     /// Maximum number of batches in flight to a host that pulls rows; fewer after a loss. A window
-    /// fills a link of 10 Mbit/s for 20 ms, longer than a round trip, and seven of them fit into a
-    /// socket's buffer.
+    /// fills a link of 10 Mbit/s for 10 ms, longer than a round trip in a region, and those of all
+    /// children of a reader fit into a socket's buffer.
     pub batches_per_window: usize,
     /// Maximum number of hosts whose pulls wait until this host has the rows itself: its children in
     /// the trees of a few readers.
