--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,8 +4,8 @@
 //! This crate does no I/O and does not choose targets for flows. [`Catalog`] merges rows from any
 //! source in any order; [`Directory`] holds the immutable lookup tables that the data path uses.
 //!
-//! Architecture Invariant: merging is commutative and idempotent. A row never goes back to an earlier
-//! revision of its era, nor to an earlier write of its writer.
+//! Architecture Invariant: merging is idempotent and, within an era, commutative. A row never goes back
+//! to an earlier write of its writer nor, of the same write, to an earlier revision of its era.
 
 mod directory;
 mod revision;
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -2,7 +2,7 @@
 //!
 //! Each batch says which range of keys it is about, so a lost one is pulled again by itself, by this
 //! host's position alone: the sender keeps no state, and any host that knows as much may go on for
-//! it. At most one window of batches is in flight to a host.
+//! it. The next window is pulled when the last batch of the one before has arrived, or after a timeout.
 
 use std::net::SocketAddr;
 
