--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -81,3 +81,10 @@
 fn seed_147() {
     check(SoakConfig { seed: 147, duration: Duration::from_secs(12), has_returns: true });
 }
+
+/// A leaving target received an opening: all hosts had just started, and none read its announcement
+/// before the store stopped answering 1.4 s later.
+#[test]
+fn seed_301() {
+    check(SoakConfig { seed: 301, duration: Duration::from_secs(12), has_returns: true });
+}
