Order the rows of a target totally

Cause: rows of one era were compared by revision, rows of two eras by what the target wrote last. Taken together that is no order: of an absence at 1.10, the same announcement listed again at 1.20 and a copy of it at 2.8, each superseded another one.

Change: a row has one version, compared field by field: start, edition, then the revision as of which a host read whether the record is listed. A row as it was written knows least, since it may come from a copy. A reader whose listing contradicts what it knows of the same history writes a correction (is_relisted), or counts a clock reset if a target started again with an earlier start time. adopt_era, which moved absences into a later era, is gone.

The generator of row_never_reverts drew absences at the very revision of their announcement, which cannot come about: an absence is read later than the write. It now draws them with an earlier edition; the check is unchanged.

--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -204,34 +204,106 @@
     pub edition: u64,
     /// Whether the store lists it.
     pub presence: Presence,
+    /// Whether a host read that the record is listed after another host took it for absent. The
+    /// revision is then that of the read.
+    pub is_relisted: bool,
+    /// How often a reader found a later start of the target with an earlier start time.
+    pub clock_resets: u16,
+    /// The store's revision at which the item was created.
+    pub created: Revision,
     /// The record as it was last listed.
     pub record: Record,
 }
 
+/// The version of a row, in the order of its fields; of two rows with the same key, the one with
+/// the higher version counts.
+///
+/// What the writer wrote last comes first, since a store that returned from a copy gives out
+/// revisions again and lists what was written before the copy was made. Of rows with the same
+/// announcement, one as it was written knows least: it may come from a copy. Removals and their
+/// corrections know more, the later ones by their revision most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Version {
+    clock_resets: u16,
+    started_at_ms: u64,
+    edition: u64,
+    /// The revision as of which a host read whether the record is listed; `None` if the row is as it
+    /// was written.
+    observed: Option<Revision>,
+    presence: Presence,
+    revision: Revision,
+}
+
 impl Row {
-    /// Whether this row is newer than `other`, which has the same key.
-    ///
-    /// The version decides between settings. Between rows of targets the store's revision does within
-    /// an era, and what the target wrote last across eras: a later one may list what the target wrote
-    /// before the copy was made.
+    /// A listed row as its writer wrote it; an item that was created at `revision`.
+    pub fn written(revision: Revision, edition: u64, record: Record) -> Row {
+        Row {
+            revision,
+            edition,
+            presence: Presence::Listed,
+            is_relisted: false,
+            clock_resets: 0,
+            created: revision,
+            record,
+        }
+    }
+
+    /// Whether this row is newer than `other`, which has the same key. This is a total order, so hosts
+    /// end with the same row whatever the order in which rows arrive.
     pub fn supersedes(&self, other: &Row) -> bool {
-        let (Record::Target(target), Record::Target(other_target)) = (&self.record, &other.record)
+        self.version() > other.version()
+    }
+
+    fn version(&self) -> Version {
+        let started_at_ms = match &self.record {
+            Record::Target(target) => target.started_at_ms,
+            _ => 0,
+        };
+        let is_observed = self.presence != Presence::Listed || self.is_relisted;
+        Version {
+            clock_resets: self.clock_resets,
+            started_at_ms,
+            edition: self.edition,
+            observed: (is_observed || self.record.is_settings()).then_some(self.revision),
+            presence: self.presence,
+            revision: self.revision,
+        }
+    }
+
+    /// This row, which the store lists as of `listed_at`, in the version in which it counts against
+    /// `known`.
+    ///
+    /// Within the history that a reader follows the store is right. A row that does not supersede
+    /// `known`, but was written or is listed later, corrects a false absence or a start time by a
+    /// clock that was behind.
+    pub(crate) fn corrected(mut self, known: &Row, listed_at: Revision) -> Row {
+        let (Record::Target(target), Record::Target(known_target)) = (&self.record, &known.record)
         else {
-            return (self.edition, self.revision, self.presence)
-                > (other.edition, other.revision, other.presence);
+            return self;
         };
-        let is_same_start = target.started_at_ms == other_target.started_at_ms;
-        let are_listed = [self, other].iter().all(|row| row.presence == Presence::Listed);
-        if is_same_start && are_listed && self.edition != other.edition {
-            return self.edition > other.edition;
+        let is_same_start = target.started_at_ms == known_target.started_at_ms;
+        if is_same_start {
+            self.clock_resets = self.clock_resets.max(known.clock_resets);
         }
-        if self.revision.era == other.revision.era {
-            return (self.revision, self.presence) > (other.revision, other.presence);
+        if self.supersedes(known) || (is_same_start && self.edition < known.edition) {
+            return self;
         }
-        // Of two rows with the same announcement, the one that knows of its end is newer.
-        let order = |row: &Row, target: &Target| {
-            (target.started_at_ms, row.edition, row.presence == Presence::Gone, row.revision.era)
+        let revision = match known.presence {
+            Presence::Listed => self.revision,
+            _ => listed_at.max(self.revision),
+        };
+        let is_later = match known.presence {
+            Presence::Listed => revision > known.revision,
+            _ => revision >= known.revision,
         };
-        order(self, target) > order(other, other_target)
+        if !is_later {
+            return self;
+        }
+        let clock_resets = known.clock_resets;
+        let corrected = Row { revision, is_relisted: true, clock_resets, ..self };
+        if corrected.supersedes(known) {
+            return corrected;
+        }
+        Row { clock_resets: clock_resets.saturating_add(1), ..corrected }
     }
 }
--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -83,12 +83,17 @@
         self.merge_with(row, true)
     }
 
-    /// Merges a row that the store lists. Returns whether the record or its presence changed.
+    /// Merges a row that the store lists as of the revision `listed_at`; `None` if that does not show
+    /// that it is listed, as in a copy. Returns the row if the record or its presence changed.
     ///
     /// A row with the same content only raises the revision of the known row, and is not sent to
     /// other hosts again: all settings are written at once, whatever changed.
-    pub fn merge_read(&mut self, row: Row) -> bool {
-        self.merge_with(row, false)
+    pub fn merge_read(&mut self, row: Row, listed_at: Option<Revision>) -> Option<Row> {
+        let row = match (self.get(row.record.key()), listed_at) {
+            (Some(known), Some(listed_at)) => row.corrected(known, listed_at),
+            _ => row,
+        };
+        self.merge_with(row.clone(), false).then_some(row)
     }
 
     fn merge_with(&mut self, row: Row, sends_unchanged: bool) -> bool {
@@ -130,17 +135,6 @@
         self.settings_version = self.settings_version.max(settings_version);
     }
 
-    /// Counts the end of targets in earlier eras as of the start of the present one, so that these
-    /// targets are listed again if the store lists them now.
-    pub fn adopt_era(&mut self) {
-        let era = self.revision.era;
-        for row in self.rows.iter_mut().filter(|row| !row.record.is_settings()) {
-            if row.presence != Presence::Listed && row.revision.era < era {
-                row.revision = Revision::new(era, 0);
-            }
-        }
-    }
-
     /// Marks the targets for which `is_absent` returns true as lapsed or gone as of `revision`.
     /// Returns the changed rows.
     ///
@@ -156,8 +150,9 @@
             Absence::Conclusive => Presence::Gone,
         };
         self.replace_rows(|row| {
-            let is_earlier = row.presence == Presence::Listed || row.presence < presence;
-            let absent = || Row { revision, presence, ..row.clone() };
+            let is_earlier = (row.presence == Presence::Listed || row.presence < presence)
+                && (row.revision, row.presence) < (revision, presence);
+            let absent = || Row { revision, presence, is_relisted: false, ..row.clone() };
             (!row.record.is_settings() && is_earlier && is_absent(row)).then(absent)
         })
     }
--- a/crates/catalog/tests/replaced_targets.rs
+++ b/crates/catalog/tests/replaced_targets.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Catalog, Directory, Limits, Presence, Record, Revision, Row, Service, Stage, Target, TargetId,
+    Catalog, Directory, Limits, Record, Revision, Row, Service, Stage, Target, TargetId,
 };
 
 const SERVICE: u64 = 7;
@@ -31,8 +31,8 @@
     let mut catalog = Catalog::default();
     let settings = settings.into_iter().map(|record| (1, record));
     for (revision, record) in settings.chain(entries.iter().cloned()) {
-        let (revision, presence) = (Revision::new(1, revision), Presence::Listed);
-        catalog.merge(Row { revision, edition: 1, presence, record });
+        let revision = Revision::new(1, revision);
+        catalog.merge(Row::written(revision, 1, record));
         catalog.advance(revision, 0);
     }
     let directory = Directory::new(&catalog);
--- a/crates/catalog/tests/rows.rs
+++ b/crates/catalog/tests/rows.rs
@@ -33,12 +33,7 @@
 }
 
 fn listed(revision: u64, record: Record) -> Row {
-    Row {
-        revision: Revision::new(1, revision),
-        edition: revision,
-        presence: Presence::Listed,
-        record,
-    }
+    Row::written(Revision::new(1, revision), revision, record)
 }
 
 fn catalog(rows: &[Row]) -> Catalog {
@@ -93,7 +88,10 @@
             1 => Presence::Lapsed,
             _ => Presence::Gone,
         };
-        Row { revision: Revision::new(1, revision), edition: revision, presence, record }
+        // A target is absent at a later revision than that of its announcement.
+        let is_absence = presence != Presence::Listed && !record.is_settings();
+        let row = listed(revision, record);
+        Row { presence, edition: revision - u64::from(is_absence), ..row }
     })
 }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Key, Presence, Revision, Row};
+use catalog::{Key, Revision, Row};
 use membership::{Member, MemberState, Membership};
 use relay::{Peer, Relay, Settings, StoreUpdate};
 use routing::HostId;
@@ -247,9 +247,9 @@
                 settings.push(Settings { version: edition, revision, records });
                 continue;
             }
-            let presence = Presence::Listed;
-            let rows = records.into_iter();
-            targets.extend(rows.map(|record| Row { revision, edition, presence, record }));
+            let created = item.created;
+            let rows = records.into_iter().map(|record| Row::written(revision, edition, record));
+            targets.extend(rows.map(|row| Row { created, ..row }));
         }
         (settings, targets)
     }
--- a/crates/measures/src/directory.rs
+++ b/crates/measures/src/directory.rs
@@ -129,7 +129,7 @@
         aim_ms: 250,
         timeout_ms: 1_500,
     });
-    Row { revision: Revision::new(1, 1), edition: 1, presence: Presence::Listed, record }
+    Row::written(Revision::new(1, 1), 1, record)
 }
 
 fn target_row(number: usize, service: usize, stage: Stage, revision: u64) -> Row {
@@ -145,10 +145,5 @@
         started_at_ms: number as u64,
     });
     debug_assert!(matches!(record.key(), Key::Target(_)));
-    Row {
-        revision: Revision::new(1, revision),
-        edition: revision,
-        presence: Presence::Listed,
-        record,
-    }
+    Row::written(Revision::new(1, revision), revision, record)
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -171,17 +171,11 @@
             settings_version = settings.version.max(settings_version);
             changed_rows.extend(self.merge_settings(settings));
         }
-        for mut row in targets {
+        for row in targets {
             let key = row.record.key();
-            let is_falsely_absent = self.is_falsely_absent(key, row.revision, revision)
-                && !removed.iter().any(|entry| entry.1 == key);
-            if is_falsely_absent {
-                // With the revision of the read, the row supersedes an earlier false report.
-                row.revision = revision;
-            }
-            if self.catalog.merge_read(row.clone()) {
-                changed_rows.push(row);
-            }
+            let shows_listing =
+                self.follows_known(key, revision) && !removed.iter().any(|entry| entry.1 == key);
+            changed_rows.extend(self.catalog.merge_read(row, shows_listing.then_some(revision)));
         }
         for (revision, key) in removed {
             let is_removed = |row: &Row| row.record.key() == key;
@@ -217,24 +211,19 @@
         kept.sort_unstable();
         let mut changed_rows = Vec::new();
         for record in records {
-            let row = Row { revision, edition: version, presence: Presence::Listed, record };
-            if self.catalog.merge_read(row.clone()) {
-                changed_rows.push(row);
-            }
+            let row = Row::written(revision, version, record);
+            changed_rows.extend(self.catalog.merge_read(row, None));
         }
         let is_removed = |row: &Row| kept.binary_search(&row.record.key()).is_err();
         changed_rows.extend(self.catalog.mark_removed(revision, version, is_removed));
         changed_rows
     }
 
-    /// Whether another host marked a record as absent after it was written, although the store
-    /// lists it as of `revision`.
-    fn is_falsely_absent(&self, key: Key, written_revision: Revision, revision: Revision) -> bool {
-        let known = self.catalog.get(key);
-        known.is_some_and(|row| {
-            row.presence != Presence::Listed
-                && (written_revision..=revision).contains(&row.revision)
-        })
+    /// Whether a read at `revision` shows what happened after the known row with this key. A store that
+    /// has just returned from a copy shows what happened before.
+    fn follows_known(&self, key: Key, revision: Revision) -> bool {
+        let is_same_era = |known: &Row| known.revision.era == revision.era;
+        self.is_settled(revision) || self.catalog.get(key).is_none_or(is_same_era)
     }
 
     /// Whether the next read has to be a full listing, since a peer reported a record absent that
@@ -391,10 +380,7 @@
             let mut row = row.clone();
             if batch.scope == Scope::All && row.presence == Presence::Listed {
                 // The sender knows every change up to its revision, and lists the row.
-                row.revision = row.revision.max(batch.heartbeat.revision);
-                if row.record.is_settings() {
-                    row.edition = row.edition.max(batch.heartbeat.settings_version);
-                }
+                row = self.listed_by_peer(row, &batch.heartbeat);
             }
             if self.catalog.merge(row.clone()) {
                 changed_rows.push(row);
@@ -430,6 +416,27 @@
         out
     }
 
+    /// A row in a version that corrects an absence that this host knows in the same era, if the sender
+    /// still lists it as of its heartbeat.
+    fn listed_by_peer(&self, mut row: Row, heartbeat: &Heartbeat) -> Row {
+        if row.record.is_settings() {
+            row.revision = row.revision.max(heartbeat.revision);
+            row.edition = row.edition.max(heartbeat.settings_version);
+            return row;
+        }
+        let is_absent = |known: &&Row| {
+            known.presence != Presence::Listed
+                && known.edition == row.edition
+                && known.revision.era == heartbeat.revision.era
+                && known.revision <= heartbeat.revision
+        };
+        if self.catalog.get(row.record.key()).as_ref().is_some_and(is_absent) {
+            row.revision = row.revision.max(heartbeat.revision);
+            row.is_relisted = true;
+        }
+        row
+    }
+
     /// Sends rows that changed after the revision `after` to all hosts. Only one window of a larger
     /// change is sent, without its listeners; the hosts pull the rest.
     fn push(&self, after: Revision, rows: Vec<Row>, now_ms: u64) -> Vec<Outgoing> {
--- a/crates/relay/src/relay/era.rs
+++ b/crates/relay/src/relay/era.rs
@@ -32,13 +32,17 @@
         }
     }
 
+    /// Whether what the store lists at `revision` is listed, not only part of the copy it returned from.
+    pub(super) fn is_settled(&self, revision: Revision) -> bool {
+        self.era.is_settled && self.era.number == revision.era
+    }
+
     /// Reconciles rows of earlier eras once every live writer has written again.
     pub(super) fn settle_era(&mut self, now_ms: u64) {
         if self.era.is_settled || now_ms < self.era.started_at_ms + self.config.era_settling_ms {
             return;
         }
         self.era.is_settled = true;
-        self.catalog.adopt_era();
         self.needs_relist |= self.role == Role::Reader;
     }
 }
--- a/crates/relay/tests/eras.rs
+++ b/crates/relay/tests/eras.rs
@@ -180,7 +180,7 @@
     let Record::Target(target) = target(1) else { panic!("a target is a target") };
     let stage = if edition > 4 { Stage::Draining } else { Stage::Ready };
     let record = Record::Target(Target { stage, started_at_ms, ..target });
-    Row { revision: Revision::new(era, number), edition, presence, record }
+    Row { presence, ..Row::written(Revision::new(era, number), edition, record) }
 }
 
 #[test]
--- a/crates/relay/tests/mixed_transfers.rs
+++ b/crates/relay/tests/mixed_transfers.rs
@@ -24,7 +24,7 @@
 }
 
 fn row(presence: Presence, record: Record) -> Row {
-    Row { revision: Revision::new(1, 20), edition: 20, presence, record }
+    Row { presence, ..Row::written(Revision::new(1, 20), 20, record) }
 }
 
 /// The listed rows: listeners on the ports 81 to 84, limits that changed later, and one target.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -41,8 +41,7 @@
 
 /// The row of a record that was written at the revision with this number of the first era.
 pub fn listed(number: u64, record: Record) -> Row {
-    let (revision, edition) = (Revision::new(1, number), number);
-    Row { revision, edition, presence: Presence::Listed, record }
+    Row::written(Revision::new(1, number), number, record)
 }
 
 /// The listener on this port, whose flows go to the service `service_seed`.
@@ -141,11 +140,8 @@
             .filter(|key| matches!(key, Key::Target(_)) && !self.lists(*key))
             .map(|key| (revision, key))
             .collect();
-        let targets = self.targets.iter().map(|(number, edition, record)| Row {
-            revision: Revision::new(era, *number),
-            edition: *edition,
-            presence: Presence::Listed,
-            record: record.clone(),
+        let targets = self.targets.iter().map(|(number, edition, record)| {
+            Row::written(Revision::new(era, *number), *edition, record.clone())
         });
         let settings = self.settings.iter().map(|(number, version, records)| Settings {
             version: *version,
--- a/crates/store/src/ranges.rs
+++ b/crates/store/src/ranges.rs
@@ -15,6 +15,9 @@
     pub value: Vec<u8>,
     /// The store's revision of the last change.
     pub revision: Revision,
+    /// The store's revision at which the key was created; that of the last change if the store does not
+    /// tell.
+    pub created: Revision,
 }
 
 /// All items whose keys start with a prefix.
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Catalog, Directory, FlowTag, Limits, Listener, Presence, Record, RequestKind, Revision, Row,
-    Share, Stage, Target, TargetId,
+    Catalog, Directory, FlowTag, Limits, Listener, Record, RequestKind, Revision, Row, Share,
+    Stage, Target, TargetId,
 };
 use tagged::{CheckVerdict, Config, Dispatcher, FlowKey, Segment, SegmentKind, Verdict, View};
 
@@ -31,12 +31,7 @@
     [limits, listener]
         .into_iter()
         .chain(targets)
-        .map(|record| Row {
-            revision: Revision::new(1, 1),
-            edition: 1,
-            presence: Presence::Listed,
-            record,
-        })
+        .map(|record| Row::written(Revision::new(1, 1), 1, record))
         .collect()
 }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -155,6 +155,13 @@
   era      @22 :UInt64;
   # The version of the settings, or the number of the target's announcements since its start.
   edition  @23 :UInt64;
+  # Whether a host read that the record is listed after another host took it for absent.
+  isRelisted  @24 :Bool;
+  # How often a reader found a later start of the target with an earlier start time.
+  clockResets @25 :UInt16;
+  # The revision at which the item was created.
+  created     @26 :UInt64;
+  createdEra  @27 :UInt64;
 }
 
 # The rows of a range of keys: those that changed after a revision, or all.
--- a/crates/wire/src/catalog_rows.rs
+++ b/crates/wire/src/catalog_rows.rs
@@ -125,6 +125,10 @@
     out.set_revision(row.revision.number);
     out.set_era(row.revision.era);
     out.set_edition(row.edition);
+    out.set_is_relisted(row.is_relisted);
+    out.set_clock_resets(row.clock_resets);
+    out.set_created(row.created.number);
+    out.set_created_era(row.created.era);
     out.set_presence(match row.presence {
         Presence::Listed => 0,
         Presence::Lapsed => 1,
@@ -202,8 +206,15 @@
             started_at_ms: target.get_started_at_ms(),
         }),
     };
-    let revision = Revision::new(row.get_era(), row.get_revision());
-    Ok(Row { revision, edition: row.get_edition(), presence, record })
+    Ok(Row {
+        revision: Revision::new(row.get_era(), row.get_revision()),
+        edition: row.get_edition(),
+        presence,
+        is_relisted: row.get_is_relisted(),
+        clock_resets: row.get_clock_resets(),
+        created: Revision::new(row.get_created_era(), row.get_created()),
+        record,
+    })
 }
 
 fn decode_listener(listener: row::listener::Reader<'_>) -> Result<Listener, DecodeError> {
--- a/crates/wire/tests/catalog_messages.rs
+++ b/crates/wire/tests/catalog_messages.rs
@@ -44,8 +44,9 @@
     let presences = [Presence::Listed, Presence::Gone, Presence::Lapsed, Presence::Listed];
     let rows = records.into_iter().zip(presences).zip(140..);
     rows.map(|((record, presence), number)| {
-        let (revision, edition) = (Revision::new(3, number), number - 100);
-        Row { revision, edition, presence, record }
+        let written = Row::written(Revision::new(3, number), number - 100, record);
+        let (created, clock_resets) = (Revision::new(2, number - 50), number as u16);
+        Row { presence, is_relisted: number % 2 == 0, clock_resets, created, ..written }
     })
     .collect()
 }
