Take the target that was created last for the live one at an address

Cause: of two targets at one address, the one with the later start time counted as the live one. The start time is by the target's own clock: one that was behind counted as replaced while the entry of its dead predecessor lasted, and its callers were reset.

Change: within an era the store's revision at which the item was created decides, across eras the start time as before. A late write of the dead target does not change when its item was created.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -26,6 +26,8 @@
     listeners: Vec<Listener>,
     services: Vec<Service>,
     targets: Vec<(Target, Presence)>,
+    /// The revisions at which the items of `targets` were created.
+    created: Vec<Revision>,
     tags: Arc<TagTable>,
     /// The targets whose address a target that started later reuses, sorted.
     replaced: Vec<TargetIndex>,
@@ -49,7 +51,10 @@
         };
         for row in catalog.rows() {
             match &row.record {
-                Record::Target(target) => directory.targets.push((target.clone(), row.presence)),
+                Record::Target(target) => {
+                    directory.targets.push((target.clone(), row.presence));
+                    directory.created.push(row.created);
+                }
                 _ if row.presence == Presence::Gone => {}
                 Record::Listener(listener) => directory.listeners.push(listener.clone()),
                 Record::Service(service) => directory.services.push(service.clone()),
@@ -97,24 +102,37 @@
         named.extend(shares.map(|share| share.service_seed));
         named.sort_unstable();
         named.dedup();
-        let mut by_address: Vec<(SocketAddrV4, u64, usize)> = self
+        let mut by_address: Vec<(SocketAddrV4, usize)> = self
             .targets
             .iter()
             .enumerate()
             .filter(|(_, (target, presence))| {
                 *presence != Presence::Gone && named.binary_search(&target.service_seed).is_ok()
             })
-            .map(|(position, (target, _))| (target.address, target.started_at_ms, position))
+            .map(|(position, (target, _))| (target.address, position))
             .collect();
         by_address.sort_unstable();
-        for pair in by_address.windows(2) {
-            let (earlier, later) = (pair[0], pair[1]);
-            if earlier.0 == later.0 && earlier.1 < later.1 {
-                self.targets[earlier.2].1 = Presence::Gone;
-                self.replaced.push(TargetIndex(earlier.2));
-            }
+        let mut replaced = Vec::new();
+        for same_address in by_address.chunk_by(|one, other| one.0 == other.0) {
+            let positions = || same_address.iter().map(|entry| entry.1);
+            let is_replaced = |one: &usize| positions().any(|other| self.is_earlier(*one, other));
+            replaced.extend(positions().filter(is_replaced).map(TargetIndex));
+        }
+        replaced.sort_unstable();
+        self.replaced = replaced;
+        for index in &self.replaced {
+            self.targets[index.0].1 = Presence::Gone;
+        }
+    }
+
+    /// Whether the target at position `one` appeared before the one at `other`, of the same address. The
+    /// store's order counts where it is known, since the clocks of targets may be wrong.
+    fn is_earlier(&self, one: usize, other: usize) -> bool {
+        let (created, other_created) = (self.created[one], self.created[other]);
+        if created.era == other_created.era && created != other_created {
+            return created < other_created;
         }
-        self.replaced.sort_unstable();
+        self.targets[one].0.started_at_ms < self.targets[other].0.started_at_ms
     }
 
     /// Every listener, sorted by address.
