Handle late copies of openings behind the rest of the receive queue

Cause: a host that was out of processor time for a moment found in its receive queue a copy of an opening and, behind it, the caller's acknowledgement of the first target's answer. It handled the copy as if nobody had answered and sent it to a second target. If that one refused flows, it reset the flow that was open by then; callers saw a broken connection.

Change: when the oldest packet in the queue may be 50 ms old, copies wait until the queue is empty (at most 50 ms and 256 of them; receive calls do not block meanwhile). That a receive call waited is told by microseconds: the millisecond clock also ticks between two packets that were both there.

--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -7,8 +7,13 @@
 /// The monotonic time in milliseconds. It includes time during which the machine was suspended, so
 /// that ages are not underestimated.
 pub(crate) fn now_ms() -> u64 {
+    now_us() / 1_000
+}
+
+/// The same clock in microseconds.
+pub(crate) fn now_us() -> u64 {
     let now = clock_gettime(ClockId::Boottime);
-    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
 }
 
 /// The incarnation number of this process: the wall-clock time in milliseconds since 1970. That
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -38,7 +38,19 @@
 /// opening after 200 ms and give up after 1.4 s.
 const PENDING_TIMEOUT_MS: u64 = 1_000;
 
-/// A packet that arrived before the first directory.
+/// How long a receive call takes at least if it had to wait for a packet, in microseconds: many times
+/// what it takes if there is one.
+const MIN_BLOCKED_US: u64 = 300;
+
+/// How old the oldest packet in the receive queue may be before copies of openings are handled behind
+/// the rest of the queue, in milliseconds. A caller's answer to the target may wait behind a copy, and
+/// shows where the flow is open by then. Less than the time after which a copy goes to another target.
+const LATE_COPY_MS: u64 = 50;
+
+/// How many copies of openings may wait for the rest of the receive queue.
+const MAX_LATE_COPIES: usize = 256;
+
+/// A packet that waits: for the first directory, or for those behind it in the receive queue.
 struct PendingPacket {
     received_at_ms: u64,
     datagram: Vec<u8>,
@@ -56,6 +68,8 @@
     /// Until when new flows may be placed by `directory`, by the monotonic clock.
     placement_until_ms: u64,
     pending: Vec<PendingPacket>,
+    /// Copies of openings that wait until the receive queue is empty.
+    late_copies: Vec<PendingPacket>,
     send_buffer: Vec<u8>,
     next_notice_ms: u64,
     next_status_ms: u64,
@@ -81,6 +95,7 @@
             confirmed_at_ms: 0,
             placement_until_ms: 0,
             pending: Vec::new(),
+            late_copies: Vec::new(),
             send_buffer: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             next_notice_ms: 0,
             next_status_ms: 0,
@@ -93,24 +108,61 @@
     pub(crate) fn run(&mut self) -> Result<()> {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         while !self.shared.is_exiting() {
-            let receive_started_at_ms = clock::now_ms();
-            let received = self.shared.data.recv_from(&mut buffer);
-            let now_ms = clock::now_ms();
-            if now_ms > receive_started_at_ms {
-                // The call blocked, so the receive queue was empty when it began.
-                self.drained_at_ms = receive_started_at_ms;
+            let receive_started_at_us = clock::now_us();
+            let length = received_length(self.shared.data.recv_from(&mut buffer))?;
+            let now_us = clock::now_us();
+            let now_ms = now_us / 1_000;
+            if length.is_none() || now_us >= receive_started_at_us + MIN_BLOCKED_US {
+                // There was no packet, so the receive queue was empty when the call began.
+                self.drained_at_ms = receive_started_at_us / 1_000;
             }
             self.update_directory(now_ms);
             self.process_commands(now_ms);
-            if let Some(length) = received_length(received)? {
-                self.handle(&buffer[..length], now_ms, now_ms);
+            if let Some(length) = length {
+                self.receive(&buffer[..length], now_ms)?;
             }
+            self.handle_late_copies(length.is_none(), now_ms)?;
             self.send_resets();
             self.run_periodic_work(now_ms);
         }
         Ok(())
     }
 
+    /// Handles a datagram, or keeps it until those behind it in the receive queue are handled.
+    fn receive(&mut self, datagram: &[u8], now_ms: u64) -> Result<()> {
+        let is_late = now_ms >= self.drained_at_ms + LATE_COPY_MS;
+        let can_wait = self.directory.is_some() && self.late_copies.len() < MAX_LATE_COPIES;
+        if !is_late || !can_wait || !P::parse(datagram).is_some_and(|segment| segment.is_copy()) {
+            self.handle(datagram, now_ms, now_ms);
+            return Ok(());
+        }
+        if self.late_copies.is_empty() {
+            self.set_waiting(false)?;
+        }
+        let datagram = datagram.to_vec();
+        self.late_copies.push(PendingPacket { received_at_ms: now_ms, datagram });
+        Ok(())
+    }
+
+    /// Handles the copies of openings that wait, once the receive queue is empty or they have waited
+    /// long enough.
+    fn handle_late_copies(&mut self, is_queue_empty: bool, now_ms: u64) -> Result<()> {
+        let Some(first) = self.late_copies.first() else { return Ok(()) };
+        if !is_queue_empty && now_ms < first.received_at_ms + LATE_COPY_MS {
+            return Ok(());
+        }
+        for copy in std::mem::take(&mut self.late_copies) {
+            self.handle(&copy.datagram, copy.received_at_ms, now_ms);
+        }
+        self.set_waiting(true)
+    }
+
+    /// Whether a receive call waits for a packet if there is none.
+    fn set_waiting(&self, waits: bool) -> Result<()> {
+        let set = self.shared.data.set_nonblocking(!waits);
+        set.wrap_err("the mode of the data socket cannot be set")
+    }
+
     fn handle(&mut self, datagram: &[u8], received_at_ms: u64, now_ms: u64) {
         let Some(segment) = P::parse(datagram) else { return };
         self.shared.packet_at_ms.store(now_ms, Ordering::Relaxed);
--- a/crates/tagged/src/segment.rs
+++ b/crates/tagged/src/segment.rs
@@ -48,6 +48,13 @@
     pub data_bytes: u16,
 }
 
+impl Segment {
+    /// Whether it repeats an opening that the caller has sent before.
+    pub fn is_copy(&self) -> bool {
+        matches!(self.kind, SegmentKind::Open { copy } if copy > 0)
+    }
+}
+
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
