--- a/crates/relay/tests/bulk_changes.rs
+++ b/crates/relay/tests/bulk_changes.rs
@@ -132,9 +132,8 @@
 }
 
 /// Losses must not add up along the way of a change.
-#[test]
-fn lossy_links() {
-    let mut fleet = settled_fleet(LINKS, 8);
+fn check_losses(seed: u64) {
+    let mut fleet = settled_fleet(LINKS, seed);
     fleet.loss_percent = 3;
     // The answer of the store takes a second on the link of the host that reads it.
     let spread_ms = IN_FORCE_MS - 1_000;
@@ -144,7 +143,18 @@
         let added = written.last().expect("routes");
         fleet.run(spread_ms, |_| {});
         let late = (0..HOSTS).filter(|index| !fleet.knows(*index, added)).count();
-        assert_eq!(late, 0, "hosts lack a route {spread_ms} ms after it was written");
+        assert_eq!(late, 0, "seed {seed}: hosts lack a route {spread_ms} ms after it was written");
         fleet.run(10_000, |_| {});
     }
 }
+
+#[test]
+fn lossy_links() {
+    check_losses(8);
+}
+
+/// Several losses in a row hold one host up.
+#[test]
+fn repeated_losses() {
+    check_losses(19);
+}
