Follow each window of a transfer with one pull

Cause: a host pulls the next window when the last batch of the one before has arrived. It kept the end of that window, so once an answer came after its timeout (300 ms) and overlapped the window that was pulled again, every further batch counted as the end of a window and was followed by a pull of four batches. Answers came later still, and more pulls were repeated. Links filled up with rows that hosts had, and the rows of a change waited behind them.

What callers saw: for up to a second more after a large change, hosts without the new routes.

Change: the end of a window is forgotten when it is reached, and the end of one whose rows have all arrived starts none.

--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -33,7 +33,8 @@
     pub(crate) position: Option<Key>,
     /// Ranges that have arrived, some of them before the ones that they follow.
     ranges: Vec<KeyRange>,
-    /// The end of the latest window, unless it is the last one.
+    /// The end of the latest window, until it is reached; `None` if it is the last one. Each window is
+    /// followed by one pull, also if windows overlap because an answer came after its timeout.
     window_end: Option<Key>,
     /// Maximum number of batches in the next window.
     pub(crate) window_batches: usize,
@@ -106,10 +107,11 @@
             self.keys.extend(batch.rows.iter().map(|row| row.record.key()));
         }
         self.source = Some((batch.heartbeat, now_ms));
-        if batch.ends_window {
+        let before = self.position;
+        // The end of a window whose rows have all arrived already has been followed by a pull.
+        if batch.ends_window && (batch.range.end.is_none() || batch.range.end > before) {
             self.window_end = batch.range.end;
         }
-        let before = self.position;
         self.ranges.push(batch.range);
         while let Some(next) = self.next_range() {
             if next.end.is_none() {
@@ -134,6 +136,7 @@
             return Progress::Waiting;
         }
         self.window_batches += 1;
+        self.window_end = None;
         Progress::WindowEnded
     }
 
--- a/crates/relay/tests/advanced_transfer.rs
+++ b/crates/relay/tests/advanced_transfer.rs
@@ -76,3 +76,37 @@
     let Record::Listener(listener) = listener(ROUTES - 1, 1) else { panic!("a listener") };
     listener.address
 }
+
+/// An answer that comes after its timeout overlaps the window that was pulled again. Each window is
+/// followed by one pull, not each of its batches.
+#[test]
+fn late_window() {
+    let (mut receiver, mut sender) = (host(1, 2), host(2, 1));
+    let mut to_receiver = sender.on_store_update(read(200, 4_000), 10);
+    let timeout_ms = Config::default().pull_timeout_ms;
+    let (mut now_ms, mut pulls, mut held, mut batches) = (10, 0, Vec::new(), 0);
+    while receiver.catalog().revision() < Revision::new(1, 200) {
+        now_ms += 1;
+        assert!(now_ms < 5_000, "the transfer stands still after {batches} batches");
+        let mut to_sender = Vec::new();
+        for outgoing in to_receiver.drain(..) {
+            batches += usize::from(matches!(outgoing.message, Message::Rows(_)));
+            to_sender.extend(receiver.on_message(address(2), outgoing.message, now_ms));
+        }
+        pulls += to_sender.len();
+        if pulls == 2 && held.is_empty() {
+            // The answer waits in a full link until the receiver has pulled once more.
+            let answers =
+                |outgoing: relay::Outgoing| sender.on_message(address(1), outgoing.message, now_ms);
+            held = to_sender.drain(..).flat_map(answers).collect();
+            now_ms += timeout_ms;
+            to_sender.extend(receiver.tick(now_ms));
+            to_receiver.append(&mut held.clone());
+        }
+        for outgoing in to_sender.drain(..).filter(|outgoing| outgoing.to == address(2)) {
+            to_receiver.extend(sender.on_message(address(1), outgoing.message, now_ms));
+        }
+    }
+    let needed = 4_000_usize.div_ceil(Config::default().rows_per_batch);
+    assert!(batches <= needed * 5 / 4, "{batches} batches for {needed}");
+}
