--- a/crates/relay/tests/views.rs
+++ b/crates/relay/tests/views.rs
@@ -51,6 +51,29 @@
     assert!(fleet.reads <= 2 * 12 + 6, "{} reads", fleet.reads);
 }
 
+/// All hosts start at once and read; then a target announces that it leaves, before any of them is due to
+/// read again, and the store fails.
+#[test]
+fn leaving_while_starting() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(24, 3, seed);
+        fleet.set_known_peers(0..0);
+        fleet.announce(1);
+        fleet.run(300, |_| {});
+        fleet.set_known_peers(0..24);
+        fleet.run(200, |_| {});
+        fleet.announce_leaving(1);
+        fleet.run(1_300, |_| {});
+        fleet.store = Store::Down;
+        fleet.run(1_500, |_| {});
+        for index in 0..fleet.len() {
+            assert!(fleet.is_leaving(index, 1), "seed {seed}: host {index}");
+        }
+        // Each host reads when it starts; one follows the store every 500 ms, the others hear of it.
+        assert!(fleet.reads <= 24 + 24 / 3 + 6, "seed {seed}: {} reads", fleet.reads);
+    }
+}
+
 #[test]
 fn few_known_peers() {
     let mut fleet = Fleet::new(60, 3, 1);
