--- a/crates/relay/tests/bulk_changes.rs
+++ b/crates/relay/tests/bulk_changes.rs
@@ -158,3 +158,9 @@
 fn repeated_losses() {
     check_losses(19);
 }
+
+/// The last rows of a change are lost at the top of a domain's tree, and all hosts below wait for them.
+#[test]
+fn last_window() {
+    check_losses(40);
+}
