--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -23,10 +23,6 @@
     /// How long after its start a host's rank is unreliable, since membership needs a few probes to
     /// find the other hosts.
     pub startup_grace_ms: u64,
-    /// The age of the catalog at which the first host of those that know each other follows the store
-    /// within `startup_grace_ms`: a change that is written just after all hosts have read once must
-    /// not wait for `stale_after_ms`. Long enough for membership to have spread from the seeds.
-    pub startup_takeover_ms: u64,
     /// Additional wait per rank before a host reads too; longer than a read and its push take.
     pub rank_step_ms: u64,
     /// How many hosts a host forwards a push to: few, since a large change crosses 10 Mbit/s links
@@ -84,7 +80,6 @@
             initial_wait_ms: 10,
             initial_wait_step_ms: 2,
             startup_grace_ms: 4_000,
-            startup_takeover_ms: 600,
             rank_step_ms: 130,
             fanout: 4,
             pull_timeout_ms: 300,
--- a/crates/relay/src/relay/role.rs
+++ b/crates/relay/src/relay/role.rs
@@ -61,7 +61,7 @@
         let follows_for_peers = self.has_taken_over && !self.topology.peers().is_empty();
         if in_startup_grace
             && !follows_for_peers
-            && self.age_ms(self.confirmed_at_ms, now_ms) < self.startup_takeover_ms()
+            && self.age_ms(self.confirmed_at_ms, now_ms) < self.config.stale_after_ms
         {
             return Role::Listener;
         }
@@ -84,13 +84,6 @@
         if is_reader { Role::Reader } else { Role::Listener }
     }
 
-    /// The age of the catalog at which a host that has just started begins to follow the store. Of the
-    /// hosts that know each other by then, the first one does so early, and the others hear of it.
-    fn startup_takeover_ms(&self) -> u64 {
-        let is_first = self.topology.rank() == 0 && !self.topology.peers().is_empty();
-        if is_first { self.config.startup_takeover_ms } else { self.config.stale_after_ms }
-    }
-
     /// Whether a peer has sent a heartbeat or rows recently.
     pub(super) fn hears_peers(&self, now_ms: u64) -> bool {
         self.last_received_at_ms
