Claim later settings only once dropped routes are known

Cause: a host that pulls the changes since its revision from one that has just started gets all its rows, since that one does not know what was removed. The transfer counted as one of changes: rows that the sender lacks stayed listed, yet the host claimed the sender's version of the settings. Until it had pulled all rows once more, others that pulled from it took its dropped routes for routes of that version, in which nothing removes them any more.

What callers saw: flows to dropped routes were run for many seconds.

Change: such a transfer advances the revision, but not the version, so that the next heartbeat makes the host pull all rows and remove what these lack.

Evidence: dropped_routes failed before (401 settings listed at a version that has 301) and passes.

--- a/crates/relay/src/relay/transfers.rs
+++ b/crates/relay/src/relay/transfers.rs
@@ -229,6 +229,9 @@
             self.on_complete_history(revision);
         }
         if transfer.scope == Scope::All || transfer.after <= self.catalog.revision() {
+            // Others take the rows of a host for those of the version that it claims to know. As long as
+            // it does not claim the later one, the heartbeat makes it pull all rows.
+            let settings_version = if transfer.may_lack_removals { 0 } else { settings_version };
             self.advance(revision, settings_version, now_ms);
         }
         let heartbeat = Heartbeat { root: transfer.root, ..batch.heartbeat };
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -27,6 +27,8 @@
     pub(crate) known: Option<(Revision, u64)>,
     /// The revision after which the rows include those that the store stopped listing.
     pub(crate) unlisted_after: Revision,
+    /// Whether changes were pulled, and a sender that does not know all of them sent its rows instead.
+    pub(crate) may_lack_removals: bool,
     /// Whether the transfer is only about rows that the store does not list.
     pub(crate) is_history: bool,
     /// The key up to which the rows have arrived.
@@ -70,6 +72,7 @@
             after,
             known: None,
             unlisted_after: Revision::ZERO,
+            may_lack_removals: false,
             is_history: false,
             position: None,
             ranges: Vec::new(),
@@ -103,6 +106,7 @@
         let (known_revision, known_version) = self.known.unwrap_or((revision, version));
         self.known = Some((known_revision.min(revision), known_version.min(version)));
         self.unlisted_after = self.unlisted_after.max(batch.after);
+        self.may_lack_removals |= self.scope == Scope::Changes && batch.scope == Scope::All;
         if self.scope == Scope::All {
             self.keys.extend(batch.rows.iter().map(|row| row.record.key()));
         }
--- a/crates/relay/tests/advanced_transfer.rs
+++ b/crates/relay/tests/advanced_transfer.rs
@@ -110,3 +110,39 @@
     let needed = 4_000_usize.div_ceil(Config::default().rows_per_batch);
     assert!(batches <= needed * 5 / 4, "{batches} batches for {needed}");
 }
+
+/// A host that missed a change of the settings pulls it from one that has just started. That one does
+/// not know which routes were dropped, and answers with all rows.
+#[test]
+fn dropped_routes() {
+    let mut receiver = Relay::new(Config::default(), HostId(1), 1, 0, 7);
+    receiver.set_peers(vec![Peer { id: HostId(2), address: address(2), domain_seed: 1 }]);
+    receiver.on_store_update(read(100, 400), 0);
+    let mut sender = Relay::new(Config::default(), HostId(2), 1, 0, 7);
+    sender.set_peers(vec![Peer { id: HostId(1), address: address(1), domain_seed: 1 }]);
+    sender.on_store_update(read(200, 300), 0);
+    let listed = |relay: &Relay| {
+        let rows = relay.catalog().rows().iter();
+        rows.filter(|row| row.record.is_settings() && row.presence == Presence::Listed).count()
+    };
+    let mut to_receiver = sender.on_message(address(1), Message::Poll, 10);
+    let mut to_sender = Vec::new();
+    for now_ms in 10..40 {
+        for outgoing in to_receiver.drain(..) {
+            to_sender.extend(receiver.on_message(address(2), outgoing.message, now_ms));
+            // Other hosts take its rows for those of the version that it claims to know.
+            let is_current = receiver.catalog().settings_version() == 200;
+            assert!(
+                !is_current || listed(&receiver) == listed(&sender),
+                "at {now_ms} it lists {} settings, not {}",
+                listed(&receiver),
+                listed(&sender)
+            );
+        }
+        for outgoing in to_sender.drain(..).filter(|outgoing| outgoing.to == address(2)) {
+            to_receiver.extend(sender.on_message(address(1), outgoing.message, now_ms));
+        }
+    }
+    assert_eq!(receiver.catalog().settings_version(), 200);
+    assert_eq!(receiver.catalog().digest(), sender.catalog().digest());
+}
