--- a/review/cases.rs
+++ b/review/cases.rs
@@ -121,13 +121,21 @@
     let mut deployment = Deployment::start(folder, [7, 4, 7], prepare)?;
     start_callers(&mut deployment, 1, 24, 80, 300, note_reset);
     sleep_ms(8_000);
-    let target = deployment.targets[0].clone();
-    // As the target's own entry, but for its id and the field version, which is missing.
-    let entry = target.entry("ready").replace("\"version\":\"v1\",", "");
-    if has_trouble {
-        deployment.store.write("servers/i-0badcafe", &entry);
+    // Each is the entry of a running target, but for its id and one field.
+    let odd: [(u64, fn(&str) -> String); 3] = [
+        (0x0bad_cafe, |entry| entry.replace("\"version\":\"v1\",", "")),
+        (0x0bad_caff, |entry| entry.replace("\"version\":\"v1\"", "\"version\":1")),
+        (0x0bad_cafd, |entry| entry[..entry.find(",\"born\"").unwrap()].to_owned() + "}"),
+    ];
+    for (number, (id, change)) in odd.into_iter().enumerate() {
+        let entry = change(&deployment.targets[number].entry("ready"));
+        if has_trouble {
+            let target = deployment.targets[number].id;
+            deployment.recorder.note(format!("case: an odd entry at the address of {target:x}"));
+            deployment.store.write(&format!("servers/i-{id:08x}"), &entry);
+        }
+        sleep_ms(4_000);
     }
-    sleep_ms(6_000);
     deployment.recorder.end();
     Some(deployment)
 }
