--- a/review/cases.rs
+++ b/review/cases.rs
@@ -18,6 +18,7 @@
         "turned-away" => turned_away(folder, has_trouble),
         "odd-entry" => odd_entry(folder, has_trouble),
         "shared-tag" => shared_tag(folder, has_trouble),
+        "deleted-copies" => deleted_copies(folder, has_trouble),
         "stalled-log" => stalled_log(folder, has_trouble),
         _ => None,
     }
@@ -172,6 +173,40 @@
     }
 }
 
+/// Another writer kept odd copies of the entries of targets, and deletes them.
+fn deleted_copies(folder: &Path, has_trouble: bool) -> Option<Deployment> {
+    let mut deployment = Deployment::start(folder, [7, 4, 7], |deployment| {
+        prepare(deployment);
+        for target in &deployment.targets {
+            // The state is none that the platform names.
+            deployment.store.write(&copy_key(target), &target.entry("archived"));
+        }
+    })?;
+    sleep_ms(5_000);
+    if has_trouble {
+        for target in &deployment.targets {
+            deployment.store.delete(&copy_key(target));
+            sleep_ms(50);
+        }
+    }
+    sleep_ms(3_000);
+    deployment.recorder.note("case: traffic starts");
+    start_callers(&mut deployment, 1, 12, 5, 100, ignore_end);
+    start_callers(&mut deployment, 2, 4, 1, 100, ignore_end);
+    sleep_ms(20_000);
+    let answered = deployment.counts.answered.load(Ordering::Relaxed);
+    if answered == 0 {
+        let text = deployment.counts.text();
+        deployment.recorder.broken(format!("no request is served in 20 s of traffic: {text}"));
+    }
+    deployment.recorder.end();
+    Some(deployment)
+}
+
+fn copy_key(target: &crate::Target) -> String {
+    format!("servers/backup-i-{:08x}", target.id)
+}
+
 /// The log collector reads nothing for some time.
 fn stalled_log(folder: &Path, has_trouble: bool) -> Option<Deployment> {
     let mut deployment = Deployment::start(folder, [7, 4, 7], prepare)?;
--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -273,6 +273,21 @@
         revision
     }
 
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        let (lock, changed) = &*self.shared;
+        let mut contents = lock.lock().unwrap();
+        if contents.items.remove(key).is_none() {
+            return;
+        }
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.changes.push((revision, key.to_owned(), None));
+        changed.notify_all();
+        drop(contents);
+        self.recorder.note(format!("store: {key} deleted at revision {revision}"));
+    }
+
     fn serve(&self, mut stream: TcpStream, machine: Ipv4Addr) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
