--- a/review/cases.rs
+++ b/review/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, path::Path, sync::atomic::Ordering, thread};
 
-use crate::{configuration, sleep_ms, Caller, Deployment, End, OnEnd, Random, ZONES};
+use crate::{sleep_ms, Caller, Deployment, End, OnEnd, Random, ZONES};
 
 /// Bounds of the deployment (`bounds` in the settings), in milliseconds.
 const CONFIG_APPLY_MS: u64 = 3_000;
@@ -54,7 +54,7 @@
     }
     let services = ["tomtrapport", "etikettryck"];
     let routes = [(1, "tomtrapport"), (2, "etikettryck"), (3, "etikettryck")];
-    deployment.store.write("op/config", &configuration(7, &routes, &services));
+    deployment.configure(7, &routes, &services);
 }
 
 /// The store turns some machines away and serves the others; meanwhile the configuration changes.
@@ -70,7 +70,7 @@
     sleep_ms(300);
     let services = ["tomtrapport", "etikettryck"];
     let routes = [(1, "tomtrapport"), (3, "etikettryck")];
-    deployment.store.write("op/config", &configuration(12, &routes, &services));
+    deployment.configure(12, &routes, &services);
     let changed_at_ms = deployment.recorder.now_ms();
     deployment.recorder.note("operator: version 12, which drops the route r-2, is acknowledged");
     let leaving = deployment.targets[0].clone();
--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -1058,8 +1058,16 @@
         Some(deployment)
     }
 
+    /// The address of the route with this number. Nothing listens there: only packets name it.
     pub fn listener(&self, number: u8) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, number), 8_443)
+        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 250, number), 8_443)
+    }
+
+    /// Writes the configuration, as the operator does: routes as (number, service), and services.
+    pub fn configure(&self, version: u64, routes: &[(u8, &str)], services: &[&str]) {
+        let routes: Vec<(SocketAddrV4, &str)> =
+            routes.iter().map(|(number, service)| (self.listener(*number), *service)).collect();
+        self.store.write("op/config", &configuration(version, &routes, services));
     }
 
     /// Starts a target and returns it. It has to be announced.
@@ -1212,15 +1220,18 @@
     Some((words, fs::read_to_string(value("template")?).ok()?))
 }
 
-/// The configuration that the operator writes: routes as (number, service), and services.
-pub fn configuration(version: u64, routes: &[(u8, &str)], services: &[&str]) -> String {
+/// The value of the configuration's key.
+fn configuration(version: u64, routes: &[(SocketAddrV4, &str)], services: &[&str]) -> String {
     let routes: Vec<String> = routes
         .iter()
-        .map(|(number, service)| {
+        .enumerate()
+        .map(|(number, (address, service))| {
             format!(
-                "{{\"name\":\"r-{number}\",\"host\":\"198.18.0.{number}\",\"prefix\":\"/8443/\",\
+                "{{\"name\":\"r-{number}\",\"host\":\"{}\",\"prefix\":\"/{}/\",\
                  \"kind\":\"safe\",\"timeout-ms\":2000,\"aim-ms\":200,\"priority\":2,\
-                 \"service\":\"{service}\",\"max-attempts\":2}}"
+                 \"service\":\"{service}\",\"max-attempts\":2}}",
+                address.ip(),
+                address.port()
             )
         })
         .collect();
