Take a key of the store for a target's only if it is the target's id

Cause: the id was read from the digits behind the last dash of a key, so any key that ends with them was the target's own, for its value and for its removal. The missing version in the copies plays no part: complete copies under such keys have the same effect.

Keys that differ in leading zeros only still give one number, so a reader remembers the key of each target, the one that was created or seen first, and rejects values under others with event 1108.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -12,6 +12,7 @@
 mod row;
 mod rows;
 mod tag;
+mod target_keys;
 
 pub use crate::{
     directory::{Directory, ListenerIndex, TargetIndex},
@@ -22,4 +23,5 @@
     },
     rows::{Absence, Catalog, Digest},
     tag::{FlowTag, TagTable},
+    target_keys::TargetKeys,
 };
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catalog::{Key, Revision, Row};
+use catalog::{Key, Revision, Row, TargetKeys};
 use membership::{Member, MemberState, Membership};
 use relay::{Peer, Relay, Settings, StoreUpdate};
 use routing::HostId;
@@ -34,6 +34,7 @@
     membership: Membership,
     relay: Relay,
     replay_guard: ReplayGuard,
+    target_keys: TargetKeys,
     members_version: u64,
     /// Whether the last call to the store succeeded; a change is logged.
     is_store_available: bool,
@@ -69,6 +70,7 @@
             membership,
             relay: Relay::new(config, shared.me, shared.domain_seed, now_ms, seed),
             replay_guard: ReplayGuard::default(),
+            target_keys: TargetKeys::default(),
             members_version: 0,
             is_store_available: true,
             loads_sent_at_ms: 0,
@@ -175,8 +177,11 @@
         now_ms: u64,
     ) -> OutgoingMessages {
         self.on_store_answer();
+        let mut items: Vec<&Item> = listing.items.iter().collect();
+        // Of several keys with the id of a target, its own was created first.
+        items.sort_by_key(|item| item.created);
+        let (settings, targets) = self.decode_all::<P>(items.into_iter());
         let removed = self.unlisted_targets::<P>(&listing);
-        let (settings, targets) = self.decode_all::<P>(listing.items.iter());
         let (revision, valid_at_ms) = (listing.revision, sent_at_ms);
         self.apply_update(StoreUpdate { revision, settings, targets, removed, valid_at_ms }, now_ms)
     }
@@ -188,7 +193,9 @@
             .items
             .iter()
             .filter_map(|item| match P::key_kind(&item.key) {
-                KeyKind::Target(id) => Some(Key::Target(id)),
+                KeyKind::Target(id) if self.target_keys.may_announce(id, &item.key) => {
+                    Some(Key::Target(id))
+                }
                 _ => None,
             })
             .collect();
@@ -215,7 +222,9 @@
         let (settings, targets) = self.decode_all::<P>(written);
         let removed = list.changes.iter().filter_map(|change| match change {
             Change::Removed { key, revision } => match P::key_kind(key) {
-                KeyKind::Target(id) => Some((*revision, Key::Target(id))),
+                KeyKind::Target(id) if self.target_keys.may_announce(id, key) => {
+                    Some((*revision, Key::Target(id)))
+                }
                 _ => None,
             },
             Change::Written(_) => None,
@@ -226,9 +235,13 @@
 
     /// The settings and the rows of targets in `items`. Items that cannot be decoded change nothing.
     fn decode_all<'a, P: Platform>(
-        &self,
+        &mut self,
         items: impl Iterator<Item = &'a Item>,
     ) -> (Vec<Settings>, Vec<Row>) {
+        let catalog = self.relay.catalog();
+        if self.target_keys.len() > 2 * catalog.rows().len() {
+            self.target_keys.retain(|id| catalog.get(Key::Target(id)).is_some());
+        }
         let (mut settings, mut targets) = (Vec::new(), Vec::new());
         for item in items {
             let Decoded { edition, records } = match P::decode(item) {
@@ -238,9 +251,15 @@
                     continue;
                 }
             };
+            if let KeyKind::Target(id) = P::key_kind(&item.key)
+                && !self.target_keys.admit(id, &item.key)
+            {
+                log_rejected(item, format_args!("another key announces target {:x}", id.0));
+                continue;
+            }
             let revision = item.revision;
             if P::key_kind(&item.key) == KeyKind::Settings {
-                let in_force = self.relay.catalog().settings_version();
+                let in_force = catalog.settings_version();
                 if edition < in_force {
                     log_rejected(item, format_args!("version {edition} is before {in_force}"));
                 }
--- a/crates/wagtailstalld/tests/odd_entries.rs
+++ b/crates/wagtailstalld/tests/odd_entries.rs
@@ -5,15 +5,60 @@
 use std::{path::Path, thread, time::Duration};
 
 use platform_stand_ins::{HostState, Layout, Testbed, foreign_entry};
+use serde_json::json;
 
 const DEPTH: usize = 100_000;
 
-#[test]
-fn hosts_keep_following() {
+fn start(name: &str) -> Testbed {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let folder = folder.join(format!("odd_entries-{}", std::process::id()));
+    let folder = folder.join(format!("{name}-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
-    let mut bed = Testbed::start(program, &folder, Layout::default()).expect("the bed starts");
+    Testbed::start(program, &folder, Layout::default()).expect("the bed starts")
+}
+
+/// Asserts that all requests of a second are answered, and that no flow of a live target was reset.
+fn assert_served(bed: &Testbed, context: &str) {
+    bed.recorder().take_request_counts();
+    thread::sleep(Duration::from_millis(1_000));
+    let counts = bed.recorder().take_request_counts();
+    assert!(counts.answered > 0 && counts.answered == counts.total(), "{context}: {counts:?}");
+    assert_eq!(bed.recorder().violations(), Vec::<String>::new(), "{context}");
+}
+
+/// Copies of all entries under keys that contain the ids of the targets: hosts took them for the targets'
+/// own, and all targets for gone once the copies were deleted.
+#[test]
+fn copies_under_other_keys() {
+    let bed = start("copies_under_other_keys");
+    thread::sleep(Duration::from_millis(4_500));
+    let targets = bed.target_zones().len();
+    // The last one differs in the number of leading zeros only.
+    let forms: [fn(&str) -> String; 4] = [
+        |id| format!("plan-{id}"),
+        |id| format!("{id}-2"),
+        |id| id.replace("i-", "x-"),
+        |id| id.replace("i-", "i-0000"),
+    ];
+    for form in forms {
+        let mut names = Vec::new();
+        for index in 0..targets {
+            let (id, mut entry) = bed.announcement(index, "draining");
+            entry["service"] = json!("another");
+            entry["sequence"] = json!(1_000);
+            names.push(form(&id));
+            bed.write_foreign_entry(&form(&id), entry.to_string().as_bytes());
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        assert_served(&bed, &names[0]);
+        names.iter().for_each(|name| bed.remove_foreign_entry(name));
+        thread::sleep(Duration::from_millis(1_500));
+        assert_served(&bed, &format!("{} is removed", names[0]));
+    }
+}
+
+#[test]
+fn hosts_keep_following() {
+    let mut bed = start("odd_entries");
     let values = [
         "[".repeat(DEPTH),
         format!("{}{}", "{\"service\":".repeat(DEPTH), "}".repeat(DEPTH)),
@@ -40,11 +85,7 @@
     // The recorder reports openings that a leaving target receives too late.
     bed.drain_target(0);
     thread::sleep(Duration::from_millis(6_000));
-    bed.recorder().take_request_counts();
-    thread::sleep(Duration::from_millis(1_000));
-    let counts = bed.recorder().take_request_counts();
-    assert!(counts.answered > 0 && counts.answered == counts.total(), "{counts:?}");
-    assert_eq!(bed.recorder().violations(), Vec::<String>::new());
+    assert_served(&bed, "a target leaves");
     for index in 0..bed.host_count() {
         assert_eq!(bed.host_state(index), HostState::Running, "host {index}");
         let status = store::get_text(bed.admin_address(index), "/status", Duration::from_secs(2));
