Let no incomplete entry take the place of a running target

Cause: version was not decoded, and sequence and born had defaults, so such entries were accepted. Of two targets at one address the one that was created later replaces the other and has its flows reset.

Born stays optional, since deployments whose targets do not start again under their ids may leave it out, but either all targets state their starts or none does: beside an entry with a start at the same address, or under an id whose last entry had one, an entry without is not used.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -95,7 +95,8 @@
     }
 
     /// Marks a target as gone if another was started later at its address: its entry has not
-    /// lapsed yet. Entries of services that the settings do not name are not from a target.
+    /// lapsed yet. Entries of services that the settings do not name are not from a target, nor is one
+    /// that does not state its start beside one that does.
     fn mark_replaced(&mut self) {
         let shares = self.listeners.iter().flat_map(|listener| &listener.shares);
         let mut named: Vec<u64> = self.services.iter().map(|service| service.seed).collect();
@@ -112,17 +113,24 @@
             .map(|(position, (target, _))| (target.address, position))
             .collect();
         by_address.sort_unstable();
-        let mut replaced = Vec::new();
+        let (mut replaced, mut foreign) = (Vec::new(), Vec::new());
         for same_address in by_address.chunk_by(|one, other| one.0 == other.0) {
-            let positions = || same_address.iter().map(|entry| entry.1);
-            let is_replaced = |one: &usize| positions().any(|other| self.is_earlier(*one, other));
-            replaced.extend(positions().filter(is_replaced).map(TargetIndex));
+            let positions = same_address.iter().map(|entry| entry.1);
+            let (stated, unstated): (Vec<usize>, Vec<usize>) =
+                positions.partition(|position| self.targets[*position].0.states_start());
+            let genuine = if stated.is_empty() { &unstated } else { &stated };
+            let is_replaced =
+                |one: &usize| genuine.iter().any(|other| self.is_earlier(*one, *other));
+            replaced.extend(genuine.iter().copied().filter(is_replaced).map(TargetIndex));
+            if !stated.is_empty() {
+                foreign.extend(unstated.into_iter().map(TargetIndex));
+            }
         }
         replaced.sort_unstable();
-        self.replaced = replaced;
-        for index in &self.replaced {
+        for index in replaced.iter().chain(&foreign) {
             self.targets[index.0].1 = Presence::Gone;
         }
+        self.replaced = replaced;
     }
 
     /// Whether the target at position `one` appeared before the one at `other`, of the same address. The
--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -45,10 +45,18 @@
     pub stage: Stage,
     /// How long it stays slow after this announcement, in milliseconds.
     pub warmup_ms: u32,
-    /// When it started, in milliseconds since 1970; differs between starts under the same id.
+    /// When it started, in milliseconds since 1970; differs between starts under the same id. 0 if
+    /// it does not say.
     pub started_at_ms: u64,
 }
 
+impl Target {
+    /// Whether it states when it started. In a deployment either all targets do or none.
+    pub fn states_start(&self) -> bool {
+        self.started_at_ms > 0
+    }
+}
+
 /// The share of a listener's new flows that goes to one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Share {
@@ -128,6 +136,11 @@
         !matches!(self, Record::Target(_))
     }
 
+    /// Whether the record is of a target that states when it started.
+    pub fn states_start(&self) -> bool {
+        matches!(self, Record::Target(target) if target.states_start())
+    }
+
     /// The key of the row that holds this record.
     pub fn key(&self) -> Key {
         match self {
--- a/crates/catalog/src/rows.rs
+++ b/crates/catalog/src/rows.rs
@@ -88,7 +88,13 @@
     ///
     /// A row with the same content only raises the revision of the known row, and is not sent to
     /// other hosts again: all settings are written at once, whatever changed.
+    ///
+    /// A row of a target that no longer states its start was not written by the target.
     pub fn merge_read(&mut self, row: Row, listed_at: Option<Revision>) -> Option<Row> {
+        let known = self.get(row.record.key());
+        if known.is_some_and(|known| known.record.states_start()) && !row.record.states_start() {
+            return None;
+        }
         let row = match (self.get(row.record.key()), listed_at) {
             (Some(known), Some(listed_at)) => row.corrected(known, listed_at),
             _ => row,
--- a/crates/catalog/tests/replaced_targets.rs
+++ b/crates/catalog/tests/replaced_targets.rs
@@ -23,9 +23,8 @@
     })
 }
 
-/// The ids of the targets that are replaced in the directory of `entries`, which are pairs of a
-/// revision and a record.
-fn replaced(entries: &[(u64, Record)]) -> Vec<u64> {
+/// The directory of `entries`, which are pairs of a revision and a record.
+fn directory_of(entries: &[(u64, Record)]) -> Directory {
     let service = Service { seed: SERVICE, health_path: "/health".to_owned(), flows_max: 100 };
     let settings = [Record::Limits(Limits { idle_timeout_ms: 15_000 }), Record::Service(service)];
     let mut catalog = Catalog::default();
@@ -35,7 +34,12 @@
         catalog.merge(Row::written(revision, 1, record));
         catalog.advance(revision, 0);
     }
-    let directory = Directory::new(&catalog);
+    Directory::new(&catalog)
+}
+
+/// The ids of the targets that are replaced in the directory of `entries`.
+fn replaced(entries: &[(u64, Record)]) -> Vec<u64> {
+    let directory = directory_of(entries);
     let ids = entries.iter().filter_map(|(_, record)| match record {
         Record::Target(target) => Some(target.id),
         _ => None,
@@ -68,3 +72,18 @@
     let entries = [(10, target(1, SERVICE, 9_000)), (20, target(2, SERVICE, 4_000))];
     assert_eq!(replaced(&entries), [1], "the last one to appear is the live one");
 }
+
+/// An entry of another writer without a start time counted as a later start at the address.
+#[test]
+fn start_not_stated() {
+    let entries =
+        [(10, target(1, SERVICE, 1_000)), (20, target(2, SERVICE, 0)), (30, target(3, SERVICE, 0))];
+    assert_eq!(replaced(&entries), []);
+    let directory = directory_of(&entries);
+    let open: Vec<u64> =
+        directory.open_targets(SERVICE).map(|index| directory.target(index).id.0).collect();
+    assert_eq!(open, [1], "the others are not targets");
+    // In a deployment where no target states its start the order of the entries decides.
+    let entries = [(10, target(1, SERVICE, 0)), (20, target(2, SERVICE, 0))];
+    assert_eq!(replaced(&entries), [1]);
+}
--- a/crates/wagtailstalld/tests/odd_entries.rs
+++ b/crates/wagtailstalld/tests/odd_entries.rs
@@ -25,6 +25,25 @@
     assert_eq!(bed.recorder().violations(), Vec::<String>::new(), "{context}");
 }
 
+/// Entries at the address of a running target, of which one field is missing or of another type: hosts
+/// took each for a later start and reset the flows of the running one.
+#[test]
+fn incomplete_copies() {
+    let bed = start("incomplete_copies");
+    thread::sleep(Duration::from_millis(4_500));
+    let targets = bed.target_zones().len();
+    let (_, entry) = bed.announcement(0, "ready");
+    for (number, field) in entry.as_object().expect("an object").keys().enumerate() {
+        let (_, mut entry) = bed.announcement(number % targets, "ready");
+        entry.as_object_mut().expect("an object").remove(field);
+        bed.write_foreign_entry(&format!("i-00bad{number:05x}"), entry.to_string().as_bytes());
+        entry[field] = json!({ "odd": true });
+        bed.write_foreign_entry(&format!("i-00cad{number:05x}"), entry.to_string().as_bytes());
+        thread::sleep(Duration::from_millis(1_000));
+        assert_served(&bed, field);
+    }
+}
+
 /// Copies of all entries under keys that contain the ids of the targets: hosts took them for the targets'
 /// own, and all targets for gone once the copies were deleted.
 #[test]
