Write logs on a thread of their own

When the output was closed, the next line ended a host with code 101.

Cause: the thread that logs wrote the line itself. The control thread logs nearly all of them, so it waited for the reader with everything else that it does.

Change: a thread of its own writes the lines, by tracing-appender. 1,024 lines wait at most; others are dropped and counted in log_lines_dropped, and event 1008 tells how many. The end of a process waits 1.5 s at most for the last lines or for standard error. Panics are logged as event 1007.

--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -168,6 +168,8 @@
         let read_count = move || vec![(count.load(Ordering::Relaxed), Vec::new())];
         state.shared.metrics.observe(name, read_count);
     }
+    let lines_dropped = || vec![(telemetry::lines_dropped(), Vec::new())];
+    state.shared.metrics.observe("log_lines_dropped", lines_dropped);
     register_reason_counters(state, "flows_reset", Counters::resets);
     register_reason_counters(state, "packets_dropped", Counters::drops);
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -18,6 +18,10 @@
     Stopped = 1005,
     /// The process was suspended, and gives up its buckets until the other hosts know of the pause.
     Frozen = 1006,
+    /// A thread has panicked.
+    Panicked = 1007,
+    /// Log lines were dropped before this one.
+    LinesDropped = 1008,
     /// New settings are in force.
     SettingsInForce = 1101,
     /// Settings were read but could not be applied.
@@ -54,13 +58,15 @@
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 22] = [
+    pub const ALL: [Event; 24] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
         Event::HandedOver,
         Event::Stopped,
         Event::Frozen,
+        Event::Panicked,
+        Event::LinesDropped,
         Event::SettingsInForce,
         Event::SettingsRejected,
         Event::StoreBehind,
@@ -93,6 +99,8 @@
             Event::HandedOver => "handed_over",
             Event::Stopped => "stopped",
             Event::Frozen => "frozen",
+            Event::Panicked => "panicked",
+            Event::LinesDropped => "lines_dropped",
             Event::SettingsInForce => "settings_in_force",
             Event::SettingsRejected => "settings_rejected",
             Event::StoreBehind => "store_behind",
@@ -115,8 +123,9 @@
     /// The log level of this event.
     pub fn level(self) -> Level {
         match self {
-            Event::SettingsRejected => Level::Error,
+            Event::Panicked | Event::SettingsRejected => Level::Error,
             Event::Frozen
+            | Event::LinesDropped
             | Event::StoreBehind
             | Event::StoreUnavailable
             | Event::EntryRejected
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,9 +8,11 @@
 mod event;
 mod logging;
 mod metrics;
+mod output;
 
 pub use crate::{
     event::Event,
     logging::{Field, emit, field, init},
     metrics::{Histogram, Label, Metrics},
+    output::{LogGuard, lines_dropped, print_error},
 };
--- a/crates/wagtailstalld/src/admin.rs
+++ b/crates/wagtailstalld/src/admin.rs
@@ -185,6 +185,7 @@
             vec![(value, Vec::new())]
         });
     }
+    shared.metrics.observe("log_lines_dropped", || vec![(telemetry::lines_dropped(), Vec::new())]);
     let status = shared.status.clone();
     shared.metrics.observe("packets_dropped", move || {
         let Ok(status) = status.lock() else { return Vec::new() };
--- a/crates/wagtailstalld/src/main.rs
+++ b/crates/wagtailstalld/src/main.rs
@@ -75,7 +75,7 @@
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("wagtailstalld: {error:#}");
+            telemetry::print_error(format!("wagtailstalld: {error:#}"));
             ExitCode::FAILURE
         }
     }
@@ -94,7 +94,7 @@
         println!("{settings:#?}");
         return Ok(());
     }
-    telemetry::init(&settings.host, arguments.log_level)?;
+    let _log = telemetry::init(&settings.host, arguments.log_level)?;
     edge::run::<platform::Platform>(&arguments.settings, settings)
 }
 
@@ -104,7 +104,7 @@
         println!("{settings:#?}");
         return Ok(());
     }
-    telemetry::init(&settings.host, arguments.log_level)?;
+    let _log = telemetry::init(&settings.host, arguments.log_level)?;
     let shared = Shared::new(settings)?;
     let traffic = {
         let shared = shared.clone();
