--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -22,7 +22,7 @@
 use crate::{Event, field, logging::render};
 
 /// How many lines wait to be written at most. A few hundred bytes each, and 50 a second of an event.
-const QUEUE_LINES_MAX: usize = 1_024;
+const QUEUE_LINES_MAX: usize = 256;
 
 /// How long the end of the process waits for the last lines to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(1_500);
