Give a shared tag to the target that was first

Cause: a tag that two targets have under the same salt named none, and the flows with it were refused like those of a target that is gone. Only flows opened later were safe, since they carry tags of their own.

Change: flows with a shared tag belong to the target that was first, by the store's order and by the start times where they are stated; so all hosts with the same entries agree. If these contradict each other, hosts go by the flows that they remember and drop the packets of others, without a reset.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -14,6 +14,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TargetIndex(pub usize);
 
+/// Which target the flows with a tag belong to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TagOwner {
+    /// No known target has the tag.
+    Unknown,
+    /// Several targets have it, and their entries do not tell which of them was first.
+    Ambiguous,
+    /// The one target that has it, or the first of several; it may be gone.
+    Target(TargetIndex),
+}
+
 /// The listeners, services and targets of one revision.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -185,9 +196,59 @@
         self.targets.binary_search_by_key(&id, |entry| entry.0.id).ok().map(TargetIndex)
     }
 
-    /// The target that `tag` names, even if it is gone.
+    /// The target whose flows carry `tag`.
+    ///
+    /// New flows carry a tag that no other known target has. So flows with a shared tag were opened
+    /// when only the first of these targets was known, and belong to it.
+    pub fn tag_owner(&self, tag: FlowTag) -> TagOwner {
+        match self.tags.targets_with_tag(tag) {
+            [] => TagOwner::Unknown,
+            [only] => self.find_target(*only).map_or(TagOwner::Unknown, TagOwner::Target),
+            _ => self.first_owner(tag),
+        }
+    }
+
+    fn first_owner(&self, tag: FlowTag) -> TagOwner {
+        let owners: Vec<usize> = self
+            .tags
+            .owners(tag)
+            .into_iter()
+            .filter_map(|owner| self.find_target(owner))
+            .map(|index| index.0)
+            .collect();
+        let is_first = |one: &&usize| {
+            owners.iter().all(|other| other == *one || self.is_certainly_earlier(**one, *other))
+        };
+        match owners.iter().find(is_first) {
+            Some(first) => TagOwner::Target(TargetIndex(*first)),
+            None => TagOwner::Ambiguous,
+        }
+    }
+
+    /// Whether both the store's order and the start times, where they are known, say that the target at
+    /// `one` appeared before the one at `other`. An entry that lapsed and returned was created anew, and
+    /// the clock of a target may be wrong.
+    fn is_certainly_earlier(&self, one: usize, other: usize) -> bool {
+        let (target, other_target) = (&self.targets[one].0, &self.targets[other].0);
+        let (created, other_created) = (self.created[one], self.created[other]);
+        let states_starts = target.states_start() && other_target.states_start();
+        let is_same_era = created.era == other_created.era;
+        (states_starts || is_same_era)
+            && (!states_starts || target.started_at_ms < other_target.started_at_ms)
+            && (!is_same_era || created < other_created)
+    }
+
+    /// Whether `tag` is one of the tags of the target `id`.
+    pub fn has_tag(&self, id: crate::TargetId, tag: FlowTag) -> bool {
+        self.tags.targets_with_tag(tag).binary_search(&id).is_ok()
+    }
+
+    /// The target that `tag` names, even if it is gone; `None` if it is unknown or ambiguous.
     pub fn find_target_by_tag(&self, tag: FlowTag) -> Option<TargetIndex> {
-        self.find_target(self.tags.find(tag)?)
+        match self.tag_owner(tag) {
+            TagOwner::Target(index) => Some(index),
+            TagOwner::Unknown | TagOwner::Ambiguous => None,
+        }
     }
 
     /// The tag for new flows to the target at `index`; `None` if all its tags are shared.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,7 +15,7 @@
 mod target_keys;
 
 pub use crate::{
-    directory::{Directory, ListenerIndex, TargetIndex},
+    directory::{Directory, ListenerIndex, TagOwner, TargetIndex},
     revision::Revision,
     row::{
         Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share, Stage, Target,
--- a/crates/catalog/src/tag.rs
+++ b/crates/catalog/src/tag.rs
@@ -65,23 +65,25 @@
         table
     }
 
-    /// The target that `tag` names.
-    ///
-    /// A target that was announced later may share a tag that existing flows use. Nearly all flows
-    /// use the first salt, so the lowest salt wins; a tag that two targets have under the same salt
-    /// is ambiguous.
+    /// The target that `tag` names; `None` if there is none, or more than one.
     pub fn find(&self, tag: FlowTag) -> Option<TargetId> {
-        let (first, others) = self.targets_with_tag(tag).split_first()?;
-        if others.is_empty() {
-            return Some(*first);
+        match self.owners(tag).as_slice() {
+            [owner] => Some(*owner),
+            _ => None,
         }
+    }
+
+    /// The targets that `tag` may name.
+    ///
+    /// A target that was announced later may share a tag that existing flows use. Nearly all flows
+    /// use the first salt, so those with the lowest salt count; there may be several.
+    pub fn owners(&self, tag: FlowTag) -> Vec<TargetId> {
+        let sharing = self.targets_with_tag(tag);
         let salt_of = |target: &TargetId| {
             (0..SALTS).find(|salt| FlowTag::derive(*target, *salt) == tag).unwrap_or(SALTS)
         };
-        let mut by_salt: Vec<(u8, TargetId)> =
-            self.targets_with_tag(tag).iter().map(|target| (salt_of(target), *target)).collect();
-        by_salt.sort_unstable();
-        (by_salt[0].0 < by_salt[1].0).then_some(by_salt[0].1)
+        let lowest = sharing.iter().map(salt_of).min();
+        sharing.iter().copied().filter(|target| Some(salt_of(target)) == lowest).collect()
     }
 
     /// The first tag that only `target` has; `None` if all its tags are shared.
@@ -96,7 +98,8 @@
         self.targets.push(entry.1);
     }
 
-    fn targets_with_tag(&self, tag: FlowTag) -> &[TargetId] {
+    /// The targets that have `tag` under any salt, sorted.
+    pub fn targets_with_tag(&self, tag: FlowTag) -> &[TargetId] {
         let start = self.tags.partition_point(|known| *known < tag);
         let count = self.tags[start..].iter().take_while(|known| **known == tag).count();
         &self.targets[start..start + count]
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 mod placement;
 mod targets;
 
-use catalog::{Directory, Listener, Presence, Revision, TargetId};
+use catalog::{Directory, FlowTag, Listener, Presence, Revision, TagOwner, TargetId};
 use hashbrown::HashMap;
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -274,8 +274,13 @@
 
     fn on_flow_packet(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
-        let Some(index) = view.directory.find_target_by_tag(tag) else {
-            return self.refuse_unknown(view, segment, Reason::UnknownTag, now_ms);
+        let index = match self.owner_of_flow(view, segment, tag) {
+            TagOwner::Target(index) => index,
+            TagOwner::Unknown => {
+                return self.refuse_unknown(view, segment, Reason::UnknownTag, now_ms);
+            }
+            // One of the targets may hold the flow, and none of the others must get its packets.
+            TagOwner::Ambiguous => return Verdict::Drop(Reason::UnknownTag),
         };
         let target = view.directory.target(index);
         let presence = view.directory.presence(index);
@@ -313,6 +318,18 @@
         Verdict::Forward { target: target.id, address: target.address, tag }
     }
 
+    /// The target of an established flow. Of several with its tag, the one that this host remembers
+    /// counts.
+    fn owner_of_flow(&self, view: View<'_>, segment: &Segment, tag: FlowTag) -> TagOwner {
+        let directory = view.directory;
+        let remembered = self.flows.get(&segment.key).filter(|flow| !flow.is_opening);
+        let remembered = remembered.filter(|flow| directory.has_tag(flow.target, tag));
+        match remembered.and_then(|flow| directory.find_target(flow.target)) {
+            Some(index) => TagOwner::Target(index),
+            None => directory.tag_owner(tag),
+        }
+    }
+
     /// Resets the flow if the view proves that its target or listener is gone; otherwise drops the
     /// packet. An older view may lack a new one, and that of a host that has just started may lack
     /// targets that the store does not list.
