Test copies of the entry of a leaving target

Guards against openings to a target that has announced that it leaves, while copies of its entry under other keys call it ready. It failed before keys had to be ids (openings up to 4 s after the announcement).

--- a/crates/wagtailstalld/tests/odd_entries.rs
+++ b/crates/wagtailstalld/tests/odd_entries.rs
@@ -9,6 +9,15 @@
 
 const DEPTH: usize = 100_000;
 
+/// Keys of other writers that contain the id of a target. The last one differs from the target's own in
+/// the number of leading zeros only.
+const KEY_FORMS: [fn(&str) -> String; 4] = [
+    |id| format!("plan-{id}"),
+    |id| format!("{id}-2"),
+    |id| id.replace("i-", "x-"),
+    |id| id.replace("i-", "i-0000"),
+];
+
 fn start(name: &str) -> Testbed {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let folder = folder.join(format!("{name}-{}", std::process::id()));
@@ -51,14 +60,7 @@
     let bed = start("copies_under_other_keys");
     thread::sleep(Duration::from_millis(4_500));
     let targets = bed.target_zones().len();
-    // The last one differs in the number of leading zeros only.
-    let forms: [fn(&str) -> String; 4] = [
-        |id| format!("plan-{id}"),
-        |id| format!("{id}-2"),
-        |id| id.replace("i-", "x-"),
-        |id| id.replace("i-", "i-0000"),
-    ];
-    for form in forms {
+    for form in KEY_FORMS {
         let mut names = Vec::new();
         for index in 0..targets {
             let (id, mut entry) = bed.announcement(index, "draining");
@@ -75,6 +77,25 @@
     }
 }
 
+/// A copy of the entry of a leaving target that calls it ready: hosts went on opening flows to it.
+#[test]
+fn copies_of_a_leaving_target() {
+    let mut bed = start("copies_of_a_leaving_target");
+    thread::sleep(Duration::from_millis(4_500));
+    let (id, mut entry) = bed.announcement(0, "ready");
+    entry["sequence"] = json!(1_000);
+    for form in KEY_FORMS {
+        bed.write_foreign_entry(&form(&id), entry.to_string().as_bytes());
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    bed.drain_target(0);
+    thread::sleep(Duration::from_millis(1_000));
+    // From now on readers find the target's entry and the copies in listings.
+    bed.discard_history();
+    thread::sleep(Duration::from_millis(5_000));
+    assert_served(&bed, "a target leaves");
+}
+
 #[test]
 fn hosts_keep_following() {
     let mut bed = start("odd_entries");
