--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -2,19 +2,22 @@
 #![allow(dead_code, reason = "each test file uses a subset")]
 
 mod link;
+mod store;
 
 use std::net::{SocketAddr, SocketAddrV4};
 
 use catalog::{
-    Catalog, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Share, Stage,
-    Target, TargetId,
+    Key, Listener, Presence, Record, RequestKind, Revision, Row, Share, Stage, Target, TargetId,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use relay::{Config, Message, Outgoing, Peer, Relay, Role, Settings, StoreUpdate};
+use relay::{Config, Message, Outgoing, Peer, Relay, Role};
 use routing::HostId;
 
-pub use self::link::LinkConfig;
 use self::link::{Link, datagram_bytes};
+pub use self::{
+    link::LinkConfig,
+    store::{Contents, Store},
+};
 
 /// Simulated time per step, in milliseconds.
 const STEP_MS: u64 = 20;
@@ -30,7 +33,7 @@
     Record::Target(Target {
         id: TargetId(id),
         service_seed: 1,
-        address: std::net::SocketAddrV4::new([10, 0, 0, 1].into(), id as u16),
+        address: SocketAddrV4::new([10, 0, 0, 1].into(), id as u16),
         domain_seed: 1,
         slots: 3,
         stage: Stage::Ready,
@@ -56,13 +59,6 @@
     })
 }
 
-/// Whether the store is available.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Store {
-    Up,
-    Down,
-}
-
 struct Host {
     id: HostId,
     domain_seed: u64,
@@ -82,16 +78,6 @@
     message: Message,
 }
 
-/// What the store holds.
-#[derive(Debug, Clone, Default)]
-pub struct Contents {
-    revision: u64,
-    /// The announcements, each with the number of its revision and its edition.
-    targets: Vec<(u64, u64, Record)>,
-    /// The settings, with the number of their revision and their version.
-    settings: Option<(u64, u64, Vec<Record>)>,
-}
-
 /// The hosts of all failure domains.
 pub struct Fleet {
     config: Config,
@@ -127,41 +113,6 @@
     SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))
 }
 
-impl Contents {
-    fn remove(&mut self, id: u64) {
-        self.targets.retain(|entry| entry.2.key() != Key::Target(TargetId(id)));
-    }
-
-    fn lists(&self, key: Key) -> bool {
-        self.targets.iter().any(|entry| entry.2.key() == key)
-    }
-
-    /// A full listing of the store by a host with `catalog`.
-    fn read(&self, era: u64, catalog: &Catalog, now_ms: u64) -> StoreUpdate {
-        let revision = Revision::new(era, self.revision);
-        let known = catalog.rows().iter().map(|row| row.record.key());
-        let removed = known
-            .filter(|key| matches!(key, Key::Target(_)) && !self.lists(*key))
-            .map(|key| (revision, key))
-            .collect();
-        let targets = self.targets.iter().map(|(number, edition, record)| {
-            Row::written(Revision::new(era, *number), *edition, record.clone())
-        });
-        let settings = self.settings.iter().map(|(number, version, records)| Settings {
-            version: *version,
-            revision: Revision::new(era, *number),
-            records: records.clone(),
-        });
-        StoreUpdate {
-            revision,
-            settings: settings.collect(),
-            targets: targets.collect(),
-            removed,
-            valid_at_ms: now_ms,
-        }
-    }
-}
-
 impl Fleet {
     /// Creates `hosts` hosts, spread round-robin over `domains` failure domains.
     pub fn new(hosts: usize, domains: u64, seed: u64) -> Fleet {
@@ -207,7 +158,7 @@
             rejected_max: 0,
             rejected: Vec::new(),
             era: 1,
-            contents: Contents { revision: 1, ..Contents::default() },
+            contents: Contents::empty(),
             written: Contents::default(),
             writes: 0,
             now_ms: 0,
@@ -223,81 +174,6 @@
         }
     }
 
-    /// Writes the settings, which replace all earlier ones.
-    pub fn write_settings(&mut self, settings: &[Record]) {
-        self.writes += 1;
-        let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
-        let records = std::iter::once(limits).chain(settings.iter().cloned()).collect();
-        self.put_settings(self.writes, records);
-    }
-
-    fn put_settings(&mut self, version: u64, records: Vec<Record>) {
-        self.contents.revision += 1;
-        self.contents.settings = Some((self.contents.revision, version, records));
-        self.written.settings.clone_from(&self.contents.settings);
-    }
-
-    /// The store's revision.
-    pub fn revision(&self) -> Revision {
-        Revision::new(self.era, self.contents.revision)
-    }
-
-    /// A copy of what the store holds.
-    pub fn copy_store(&self) -> Contents {
-        self.contents.clone()
-    }
-
-    /// The store returns with what it held at the time of the copy, in a new era.
-    pub fn restore_store(&mut self, copy: &Contents) {
-        self.era += 1;
-        self.contents = copy.clone();
-    }
-
-    /// Every writer writes again what it wrote last, whatever the store has lost.
-    pub fn rewrite_store(&mut self) {
-        let written = std::mem::take(&mut self.written);
-        self.contents.targets.retain(|entry| written.lists(entry.2.key()));
-        for (_, _, record) in written.targets {
-            self.write_target(record);
-        }
-        if let Some((_, version, records)) = written.settings {
-            self.put_settings(version, records);
-        }
-    }
-
-    /// A target ends without a word, and never writes again.
-    pub fn end_silently(&mut self, id: u64) {
-        self.written.remove(id);
-    }
-
-    /// Writes the announcement of a target.
-    pub fn announce(&mut self, id: u64) {
-        self.write_target(target(id));
-    }
-
-    /// Announces that a target leaves.
-    pub fn announce_leaving(&mut self, id: u64) {
-        let Record::Target(target) = target(id) else { panic!("a target is a target") };
-        self.write_target(Record::Target(Target { stage: Stage::Draining, ..target }));
-    }
-
-    fn write_target(&mut self, record: Record) {
-        self.contents.revision += 1;
-        self.writes += 1;
-        let entry = (self.contents.revision, self.writes, record);
-        for contents in [&mut self.contents, &mut self.written] {
-            contents.targets.retain(|other| other.2.key() != entry.2.key());
-            contents.targets.push(entry.clone());
-        }
-    }
-
-    /// Removes the announcement of a target.
-    pub fn remove(&mut self, id: u64) {
-        self.contents.revision += 1;
-        self.contents.remove(id);
-        self.written.remove(id);
-    }
-
     /// Cuts a host off from the store, or ends that.
     pub fn lose_store(&mut self, index: usize, is_lost: bool) {
         self.hosts[index].has_lost_store = is_lost;
@@ -414,21 +290,6 @@
         }
     }
 
-    /// Whether the store rejects the calls of a host now.
-    pub fn is_rejected(&self, index: usize) -> bool {
-        self.rejected.contains(&index)
-    }
-
-    /// Whether a call of the host succeeds.
-    fn is_served(&mut self, index: usize) -> bool {
-        self.rejected.truncate(self.rejected_max);
-        if self.rejected.len() < self.rejected_max && !self.rejected.contains(&index) {
-            self.rejected.push(index);
-        }
-        let has_lost_store = self.hosts[index].has_lost_store || self.is_rejected(index);
-        self.store == Store::Up && !has_lost_store
-    }
-
     fn step(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let host = &mut self.hosts[index];
