--- a/crates/catalog/tests/foreign_rows.rs
+++ b/crates/catalog/tests/foreign_rows.rs
@@ -1,22 +1,14 @@
 //! Rows under the id of a target that the target did not write.
 
-use std::net::SocketAddrV4;
+mod support;
 
-use catalog::{Catalog, Key, Record, Revision, Row, Stage, Target, TargetId};
+use catalog::{Catalog, Key, Record, Revision, Row, Target, TargetId};
+use support::target;
 
 const ID: TargetId = TargetId(1);
 
 fn row(revision: u64, edition: u64, service_seed: u64, started_at_ms: u64) -> Row {
-    let target = Target {
-        id: ID,
-        service_seed,
-        address: SocketAddrV4::new([10, 0, 0, 1].into(), 8_000),
-        domain_seed: 1,
-        slots: 3,
-        stage: Stage::Ready,
-        warmup_ms: 0,
-        started_at_ms,
-    };
+    let target = target(ID, service_seed, started_at_ms);
     Row::written(Revision::new(1, revision), edition, Record::Target(target))
 }
 
--- a/crates/catalog/tests/replaced_targets.rs
+++ b/crates/catalog/tests/replaced_targets.rs
@@ -1,26 +1,15 @@
 //! Targets at whose address another entry names a target too.
 
-use std::net::SocketAddrV4;
+mod support;
 
-use catalog::{
-    Catalog, Directory, Limits, Record, Revision, Row, Service, Stage, Target, TargetId,
-};
+use catalog::{Catalog, Directory, Limits, Record, Revision, Row, Service, TargetId};
 
 const SERVICE: u64 = 7;
 const UNKNOWN_SERVICE: u64 = 8;
 
 /// A target at the one address that all targets of these tests share.
 fn target(id: u64, service_seed: u64, started_at_ms: u64) -> Record {
-    Record::Target(Target {
-        id: TargetId(id),
-        service_seed,
-        address: SocketAddrV4::new([10, 0, 0, 1].into(), 8_000),
-        domain_seed: 1,
-        slots: 3,
-        stage: Stage::Ready,
-        warmup_ms: 0,
-        started_at_ms,
-    })
+    Record::Target(support::target(TargetId(id), service_seed, started_at_ms))
 }
 
 /// The directory of `entries`, which are pairs of a revision and a record.
--- a/crates/catalog/tests/shared_tags.rs
+++ b/crates/catalog/tests/shared_tags.rs
@@ -3,11 +3,12 @@
 //! Failure scenario: a target starts whose id gives the tag that the flows of another one carry, and hosts
 //! no longer know whose these flows are.
 
-use std::{collections::HashMap, net::SocketAddrV4, sync::LazyLock};
+mod support;
+
+use std::{collections::HashMap, sync::LazyLock};
 
 use catalog::{
-    Absence, Catalog, Directory, FlowTag, Key, Record, Revision, Row, Stage, TagOwner, Target,
-    TargetId,
+    Absence, Catalog, Directory, FlowTag, Key, Record, Revision, Row, TagOwner, TargetId,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use routing::mix;
@@ -26,18 +27,10 @@
 }
 
 /// The row of the target with this index, which was created and started at these times.
-fn row(target: usize, created: u64, started_at_ms: u64) -> Row {
-    let record = Record::Target(Target {
-        id: TARGETS[target],
-        service_seed: 7,
-        address: SocketAddrV4::new([10, 0, 0, 1].into(), 8_000 + target as u16),
-        domain_seed: 1,
-        slots: 3,
-        stage: Stage::Ready,
-        warmup_ms: 0,
-        started_at_ms,
-    });
-    Row::written(Revision::new(1, created), 1, record)
+fn row(index: usize, created: u64, started_at_ms: u64) -> Row {
+    let mut target = support::target(TARGETS[index], 7, started_at_ms);
+    target.address.set_port(8_000 + index as u16);
+    Row::written(Revision::new(1, created), 1, Record::Target(target))
 }
 
 /// The index of the target that owns the shared tag.
