--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! hosts in its failure domain, and to the first host of each other domain, which forwards them
 //! down the tree of its own domain. A host whose catalog has not been confirmed as current for a
 //! while polls its peers, and then reads the store itself, in rank order: the first host of each
-//! domain, then the second of each, and so on.
+//! domain, then the second of each, and so on, in waves that grow until one of them is served.
 //!
 //! A push carries at most one batch of rows, and the most urgent of a larger change. The others pull
 //! the rest from the host that has it, one window of batches at a time, so that no change, however
--- a/crates/relay/tests/partial_outage.rs
+++ b/crates/relay/tests/partial_outage.rs
@@ -52,6 +52,45 @@
     check(100, 35);
 }
 
+/// One such outage follows another, each of which begins with the reader.
+#[test]
+fn outages_in_series() {
+    for seed in 0..5 {
+        let mut fleet = settled_fleet(24, 3, seed);
+        for id in 1..=5 {
+            fleet.rejected_max = 0;
+            fleet.run(20 + 300 * (id - 1), |_| {});
+            fleet.rejected_max = 8;
+            fleet.announce_leaving(id);
+            fleet.run(IN_FORCE_MS, |_| {});
+            assert_all_know(&fleet, id, &format!("seed {seed}, outage {id}"));
+        }
+    }
+}
+
+/// A failure domain is cut off meanwhile, but reaches the store.
+#[test]
+fn domain_cut_off() {
+    for seed in 0..5 {
+        let mut fleet = settled_fleet(24, 3, seed);
+        for index in 0..fleet.len() {
+            fleet.groups[index] = u32::from(fleet.domain(index) == 0);
+        }
+        fleet.rejected_max = 8;
+        fleet.announce_leaving(1);
+        fleet.run(IN_FORCE_MS, |_| {});
+        // Eight hosts are cut off; if the store rejects them all, they have no way to know.
+        let is_lost = |group| {
+            let mut hosts = (0..fleet.len()).filter(|index| fleet.groups[*index] == group);
+            hosts.all(|index| fleet.is_rejected(index))
+        };
+        let lost = [is_lost(0), is_lost(1)];
+        for index in (0..fleet.len()).filter(|index| !lost[fleet.groups[*index] as usize]) {
+            assert!(fleet.is_leaving(index, 1), "seed {seed}: host {index}");
+        }
+    }
+}
+
 #[test]
 fn after_full_outage() {
     for seed in 0..5 {
@@ -86,7 +125,7 @@
     }
 }
 
-/// A fleet whose store is down sends it no more than a few calls a second.
+/// A fleet whose store is down sends it no more than some 30 calls a second.
 #[test]
 fn outage_calls() {
     for hosts in [24, 100] {
