Lay out the modules and messages of the decisions under hard load

Evacuations are rows of the catalog, load reports carry how targets answer, services may limit the openings of cold targets, and the settings of a host switch each decision on.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use crate::{
-    Catalog, FlowTag, Listener, Presence, Record, Revision, Service, Stage, TagTable, Target,
+    Catalog, Evacuation, FlowTag, Listener, Presence, Record, Revision, Service, Stage, TagTable,
+    Target,
 };
 
 /// The index of a listener in its directory.
@@ -36,6 +37,8 @@
     pub is_complete: bool,
     listeners: Vec<Listener>,
     services: Vec<Service>,
+    /// The evacuations in force, sorted by failure domain.
+    evacuations: Vec<Evacuation>,
     targets: Vec<(Target, Presence)>,
     /// The revisions at which the items of `targets` were created.
     created: Vec<Revision>,
@@ -69,6 +72,7 @@
                 _ if row.presence == Presence::Gone => {}
                 Record::Listener(listener) => directory.listeners.push(listener.clone()),
                 Record::Service(service) => directory.services.push(service.clone()),
+                Record::Evacuation(evacuation) => directory.evacuations.push(evacuation.clone()),
                 Record::Limits(limits) => {
                     directory.idle_timeout_ms = u64::from(limits.idle_timeout_ms);
                 }
@@ -77,7 +81,9 @@
         directory.mark_replaced();
         directory.tags = self.updated_tags(&directory.targets);
         let open = directory.targets.iter().enumerate().filter(|(_, (target, presence))| {
-            *presence != Presence::Gone && target.stage == Stage::Ready
+            *presence != Presence::Gone
+                && target.stage == Stage::Ready
+                && !directory.is_evacuated(target.domain_seed)
         });
         directory.open = open
             .map(|(position, (target, _))| (target.service_seed, TargetIndex(position)))
@@ -171,11 +177,27 @@
         found.ok().map(|position| &self.services[position])
     }
 
+    /// The evacuations in force, sorted by failure domain.
+    pub fn evacuations(&self) -> &[Evacuation] {
+        &self.evacuations
+    }
+
+    /// Whether the targets of the failure domain whose name hashes to `domain_seed` take no new flows.
+    pub fn is_evacuated(&self, domain_seed: u64) -> bool {
+        let seed = |evacuation: &Evacuation| evacuation.domain_seed;
+        self.evacuations.binary_search_by_key(&domain_seed, seed).is_ok()
+    }
+
     /// The target at `index`.
     pub fn target(&self, index: TargetIndex) -> &Target {
         &self.targets[index.0].0
     }
 
+    /// Every target, gone ones included, sorted by id.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().map(|entry| &entry.0)
+    }
+
     /// Whether the store lists the target at `index`.
     pub fn presence(&self, index: TargetIndex) -> Presence {
         self.targets[index.0].1
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,5 +1,5 @@
-//! The replicated state of a deployment whose targets announce themselves: listeners, services and
-//! targets, as rows that hosts copy from each other.
+//! The replicated state of a deployment whose targets announce themselves: listeners, services,
+//! targets and evacuations, as rows that hosts copy from each other.
 //!
 //! This crate does no I/O and does not choose targets for flows. [`Catalog`] merges rows from any
 //! source in any order; [`Directory`] holds the immutable lookup tables that the data path uses.
@@ -18,8 +18,8 @@
     directory::{Directory, ListenerIndex, TagOwner, TargetIndex},
     revision::Revision,
     row::{
-        Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share, Stage, Target,
-        TargetId,
+        Evacuation, Key, Limits, Listener, Presence, Record, RequestKind, Row, Service, Share,
+        Stage, Target, TargetId,
     },
     rows::{Absence, Catalog, Digest},
     tag::{FlowTag, TagTable},
--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -92,6 +92,17 @@
     pub health_path: String,
     /// The maximum number of flows that one of its targets holds.
     pub flows_max: u32,
+    /// How many openings a target bears while it is cold, per 1,000 s; `None` if that is not limited.
+    pub warmup_openings_per_ks: Option<u32>,
+}
+
+/// An operator's request that the targets of a failure domain take no new flows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The hash of the failure domain's name.
+    pub domain_seed: u64,
+    /// The failure domain's name, for logs.
+    pub domain: String,
 }
 
 /// Limits that apply to the whole deployment.
@@ -111,6 +122,8 @@
     Limits,
     /// The service whose name has this hash.
     Service(u64),
+    /// The evacuation of the failure domain whose name has this hash.
+    Evacuation(u64),
     /// The target with this id.
     Target(TargetId),
     /// The listener at this address.
@@ -126,6 +139,8 @@
     Listener(Listener),
     /// A service.
     Service(Service),
+    /// An evacuation.
+    Evacuation(Evacuation),
     /// A target.
     Target(Target),
 }
@@ -133,7 +148,7 @@
 impl Record {
     /// Whether the record is part of the settings, which are written as a whole.
     pub fn is_settings(&self) -> bool {
-        !matches!(self, Record::Target(_))
+        !matches!(self, Record::Target(_) | Record::Evacuation(_))
     }
 
     /// Whether the record is of a target that states when it started.
@@ -147,6 +162,7 @@
             Record::Limits(_) => Key::Limits,
             Record::Listener(listener) => Key::Listener(listener.address),
             Record::Service(service) => Key::Service(service.seed),
+            Record::Evacuation(evacuation) => Key::Evacuation(evacuation.domain_seed),
             Record::Target(target) => Key::Target(target.id),
         }
     }
@@ -174,6 +190,15 @@
                 bytes.extend(service.seed.to_be_bytes());
                 bytes.extend(service.flows_max.to_be_bytes());
                 bytes.extend(service.health_path.as_bytes());
+                if let Some(limit) = service.warmup_openings_per_ks {
+                    bytes.push(0);
+                    bytes.extend(limit.to_be_bytes());
+                }
+            }
+            Record::Evacuation(evacuation) => {
+                bytes.push(4);
+                bytes.extend(evacuation.domain_seed.to_be_bytes());
+                bytes.extend(evacuation.domain.as_bytes());
             }
             Record::Target(target) => {
                 bytes.push(3);
@@ -273,11 +298,13 @@
             _ => 0,
         };
         let is_observed = self.presence != Presence::Listed || self.is_relisted;
+        // Neither has a writer that writes again and again.
+        let is_written_once = !matches!(self.record, Record::Target(_));
         Version {
             clock_resets: self.clock_resets,
             started_at_ms,
             edition: self.edition,
-            observed: (is_observed || self.record.is_settings()).then_some(self.revision),
+            observed: (is_observed || is_written_once).then_some(self.revision),
             presence: self.presence,
             revision: self.revision,
         }
--- a/crates/catalog/tests/replaced_targets.rs
+++ b/crates/catalog/tests/replaced_targets.rs
@@ -14,7 +14,12 @@
 
 /// The directory of `entries`, which are pairs of a revision and a record.
 fn directory_of(entries: &[(u64, Record)]) -> Directory {
-    let service = Service { seed: SERVICE, health_path: "/health".to_owned(), flows_max: 100 };
+    let service = Service {
+        seed: SERVICE,
+        health_path: "/health".to_owned(),
+        flows_max: 100,
+        warmup_openings_per_ks: None,
+    };
     let settings = [Record::Limits(Limits { idle_timeout_ms: 15_000 }), Record::Service(service)];
     let mut catalog = Catalog::default();
     let settings = settings.into_iter().map(|record| (1, record));
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -85,6 +85,7 @@
             .set_read_timeout(Some(Duration::from_millis(RECEIVE_TIMEOUT_MS)))
             .wrap_err("the read timeout of the data socket cannot be set")?;
         let config = Config { domain_seed: shared.domain_seed, ..Config::default() };
+        let config = shared.settings.placement.apply_to(config);
         let dispatcher = Dispatcher::new(config, shared.me.0 ^ shared.incarnation);
         let answer_wait = shared.metrics.histogram("answer_wait");
         Ok(DataThread {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,7 +30,7 @@
 use crate::{data_thread::DataThread, shared::Shared};
 pub use crate::{
     platform::{DecodeError, Decoded, KeyKind, Platform},
-    settings_file::EdgeSettings,
+    settings_file::{DomainExitSettings, EdgeSettings, ExcessSettings, PlacementSettings},
 };
 
 /// Runs a host with the settings read from `path` until a planned stop ends.
--- a/crates/edge/src/settings_file.rs
+++ b/crates/edge/src/settings_file.rs
@@ -4,10 +4,65 @@
 
 use eyre::{Result, WrapErr, bail};
 use serde::Deserialize;
+use tagged::{Config, DomainExit, WarmupLimit};
 use wire::PeerKey;
 
+/// The factor and the number by which all hosts together may exceed a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExcessSettings {
+    /// The factor.
+    pub factor: f64,
+    /// The number.
+    pub slack: u32,
+}
+
+/// What it costs to serve a caller from another failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DomainExitSettings {
+    /// The additional time of one round trip, in microseconds.
+    pub round_trip_us: u32,
+    /// How long a caller may rather wait than have 1,000 bytes cross, in microseconds.
+    pub price_us_per_kb: u32,
+}
+
+/// How new flows are placed. Each feature is off unless it is named.
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Whether listeners with a more urgent priority go first when a service has too little room.
+    pub orders_by_priority: bool,
+    /// Whether targets are weighted by how they answer.
+    pub weighs_answers: bool,
+    /// Limits the openings of cold targets, for services whose settings name a rate, to that rate
+    /// with this excess in any second.
+    pub warmup_excess: Option<ExcessSettings>,
+    /// Decides when flows leave the failure domain by this cost.
+    pub domain_exit: Option<DomainExitSettings>,
+}
+
+impl PlacementSettings {
+    /// The configuration of the dispatcher.
+    pub(crate) fn apply_to(&self, config: Config) -> Config {
+        Config {
+            orders_by_priority: self.orders_by_priority,
+            weighs_answers: self.weighs_answers,
+            warmup_limit: self.warmup_excess.map(|excess| WarmupLimit {
+                overshoot_permille: (excess.factor * 1_000.0) as u32,
+                slack: excess.slack,
+            }),
+            domain_exit: self.domain_exit.map(|exit| DomainExit {
+                round_trip_us: exit.round_trip_us,
+                price_us_per_kb: exit.price_us_per_kb,
+            }),
+            ..config
+        }
+    }
+}
+
 /// The settings of one host.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EdgeSettings {
     /// The host's name, for logs.
@@ -28,6 +83,9 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// The secret that all hosts share: 32 hexadecimal digits.
     pub peer_key: String,
+    /// How new flows are placed.
+    #[serde(default)]
+    pub placement: PlacementSettings,
 }
 
 impl EdgeSettings {
--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -1,5 +1,24 @@
 //! Time limits and table sizes of the dispatcher.
 
+/// By how much all hosts together may exceed the limit on openings of a cold target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WarmupLimit {
+    /// The factor by which the openings of any second may exceed the limit, in thousandths.
+    pub overshoot_permille: u32,
+    /// How many openings more any second may have.
+    pub slack: u32,
+}
+
+/// What it costs to serve a caller from another failure domain than the host's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DomainExit {
+    /// The additional time of one round trip, in microseconds.
+    pub round_trip_us: u32,
+    /// How long a caller may rather wait than have 1,000 bytes cross between failure domains, in
+    /// microseconds.
+    pub price_us_per_kb: u32,
+}
+
 /// The configuration of a [`Dispatcher`](crate::Dispatcher).
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Config {
@@ -57,6 +76,15 @@
     /// is available: three missed announcements, and the 2 s within which announcements reappear
     /// after an outage.
     pub lapse_ms: u64,
+    /// Whether listeners with a more urgent priority go first when a service has too little room.
+    pub orders_by_priority: bool,
+    /// Whether targets are weighted by how they answer.
+    pub weighs_answers: bool,
+    /// The limit on openings of cold targets; only for services whose settings limit them. `None`:
+    /// they are not limited.
+    pub warmup_limit: Option<WarmupLimit>,
+    /// Decides when flows leave the failure domain; `None`: at a fixed excess of load.
+    pub domain_exit: Option<DomainExit>,
 }
 
 impl Default for Config {
@@ -81,6 +109,10 @@
             max_recheck_delay_ms: 8_000,
             address_reuse_ms: 1_500,
             lapse_ms: 6_000,
+            orders_by_priority: false,
+            weighs_answers: false,
+            warmup_limit: None,
+            domain_exit: None,
         }
     }
 }
--- a/crates/tagged/src/dispatcher/loads.rs
+++ b/crates/tagged/src/dispatcher/loads.rs
@@ -3,7 +3,9 @@
 use catalog::TargetId;
 use hashbrown::HashMap;
 
-use crate::{Dispatcher, Segment, SegmentKind, Standing, TargetLoad, View, flows::Flow};
+use crate::{
+    AnswerStats, Dispatcher, Segment, SegmentKind, Standing, TargetLoad, View, flows::Flow,
+};
 
 /// A request is overdue when it has been in flight for more than this many times the listener's
 /// `aim_ms`. Most requests take a quarter of that.
@@ -94,6 +96,7 @@
                 flows: own_load.flows,
                 busy: own_load.weighted_busy(),
                 is_dead: self.health.standing(*target) == Standing::Dead,
+                answers: self.speeds.own_stats(*target),
             })
             .collect();
         let dead_without_flows =
@@ -103,6 +106,7 @@
             flows: 0,
             busy: 0,
             is_dead: true,
+            answers: AnswerStats::default(),
         }));
         loads.sort_unstable_by_key(|load| load.target);
         loads
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -11,14 +11,17 @@
 pub use self::loads::LoadUpdate;
 use self::{
     loads::{OwnLoad, subtract_flow},
-    placement::OpeningRate,
+    placement::{OpeningRate, Unplaced},
 };
 use crate::{
     Config, Counter, Counters, Event, FlowKey, FlowReport, Health, LatencySample, Reason,
     ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
     flows::{Flow, FlowSignal, FlowTable},
     openings::OpeningTable,
+    precedence::Precedence,
+    speed::TargetSpeeds,
     unknown_flows::UnknownFlowTable,
+    warmup::Warmups,
 };
 
 /// The number of retransmissions of the same data at which a flow counts as stalled. Callers
@@ -60,7 +63,9 @@
     own_load: HashMap<TargetId, OwnLoad>,
     /// The targets of the directory in force, sorted by id.
     known: Vec<KnownTarget>,
-    warmups: HashMap<TargetId, Warmup>,
+    warmups: Warmups,
+    speeds: TargetSpeeds,
+    precedence: Precedence,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
     counters: Counters,
@@ -88,13 +93,6 @@
     is_listed: bool,
 }
 
-/// The period after its start during which a target is slow.
-#[derive(Debug, Clone, Copy)]
-struct Warmup {
-    ends_at_ms: u64,
-    total_ms: u32,
-}
-
 impl Dispatcher {
     /// Creates a dispatcher. Its random choices follow from `seed`.
     pub fn new(config: Config, seed: u64) -> Dispatcher {
@@ -107,7 +105,9 @@
             reported: ReportedLoads::default(),
             own_load: HashMap::new(),
             known: Vec::new(),
-            warmups: HashMap::new(),
+            warmups: Warmups::default(),
+            speeds: TargetSpeeds::default(),
+            precedence: Precedence::default(),
             opening_rates: Vec::new(),
             counters: Counters::default(),
             events: Vec::new(),
@@ -236,19 +236,17 @@
                 }
             }
         }
-        let Some(index) = self.place_flow(view, listener, &tried, now_ms) else {
-            return match view.directory.has_targets(listener) {
-                true => self.refuse_opening(view, Reason::NoTarget, copy),
-                // Announcements that lapsed in an outage of the store return, so the caller's next
-                // copy of the opening may find a target.
-                false => Verdict::Drop(Reason::NoTarget),
-            };
+        let index = match self.place_flow(view, listener, &tried, now_ms) {
+            Ok(index) => index,
+            Err(Unplaced::Waiting(reason)) => return Verdict::Drop(reason),
+            Err(Unplaced::Refused(reason)) => return self.refuse_opening(view, reason, copy),
         };
         let target = view.directory.target(index);
         let Some(tag) = view.directory.tag_for(index) else {
             return Verdict::Drop(Reason::NoTarget);
         };
         self.openings.record_sent(segment.key, target.id, now_ms);
+        self.warmups.record_opening(target.id, now_ms);
         self.add_flow(segment, target.id, now_ms);
         self.counters.count(Counter::Opened);
         let flows = self.own_load.get(&target.id).map_or(0, |own_load| own_load.flows);
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -3,7 +3,9 @@
 use catalog::{Listener, TargetId, TargetIndex};
 use rand::RngExt;
 
-use crate::{Candidate, ChoiceParams, Dispatcher, Penalty, Standing, View, choose_target};
+use crate::{
+    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+};
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
 /// request in flight on them about a tenth of the time.
@@ -41,6 +43,15 @@
     }
 }
 
+/// Why an opening is not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Unplaced {
+    /// The caller's next copy of the opening may be placed.
+    Waiting(Reason),
+    /// It is refused.
+    Refused(Reason),
+}
+
 impl Dispatcher {
     /// Chooses the target for a new flow; `tried` did not answer earlier openings of it.
     pub(super) fn place_flow(
@@ -49,8 +60,10 @@
         listener: &Listener,
         tried: &[TargetId],
         now_ms: u64,
-    ) -> Option<TargetIndex> {
-        let service_seed = self.draw_service(listener)?;
+    ) -> Result<TargetIndex, Unplaced> {
+        let Some(service_seed) = self.draw_service(listener) else {
+            return Err(no_target(view, listener));
+        };
         let params = ChoiceParams {
             has_far_loads: self.reported.has_far_loads(),
             unreported_flows: self.unreported_flows(service_seed, now_ms),
@@ -74,6 +87,7 @@
                     _ if tried.contains(&target.id) => Penalty::Tried,
                     Standing::Dead => Penalty::Dead,
                     Standing::Suspect => Penalty::Suspect,
+                    Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
                     Standing::Good if silent_domains.contains(&target.domain_seed) => {
                         Penalty::DomainSilent
                     }
@@ -82,12 +96,23 @@
                     }
                     Standing::Good => Penalty::None,
                 };
-                let load = self.load(target.id, target.slots);
+                let load = self.load(target.id, target.slots) / self.speeds.relative(target.id);
                 Candidate { index, is_near, penalty, slots: target.slots, load }
             })
             .collect();
-        let candidates = self.apply_slow_start(view, candidates, now_ms);
-        choose_target(&candidates, params)
+        match self.precedence.decide(listener, &candidates, now_ms) {
+            Admission::Place => {}
+            Admission::Wait => return Err(Unplaced::Waiting(Reason::Crowded)),
+            Admission::Refuse => return Err(Unplaced::Refused(Reason::Crowded)),
+        }
+        if candidates.is_empty() {
+            return Err(no_target(view, listener));
+        }
+        let mut candidates = self.apply_slow_start(view, candidates, now_ms);
+        candidates.retain(|candidate| {
+            self.warmups.may_open(view.directory.target(candidate.index).id, now_ms)
+        });
+        choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold))
     }
 
     /// Estimates how many flows other hosts of this failure domain have opened to a service since
@@ -161,9 +186,7 @@
         now_ms: u64,
     ) -> Vec<Candidate> {
         let warmup_share_left = |candidate: &Candidate| {
-            let warmup = self.warmups.get(&view.directory.target(candidate.index).id)?;
-            let left_ms = warmup.ends_at_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
-            Some(left_ms as f64 / f64::from(warmup.total_ms))
+            self.warmups.share_left(view.directory.target(candidate.index).id, now_ms)
         };
         let warm_loads: Vec<f64> = candidates
             .iter()
@@ -188,3 +211,20 @@
         (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
     }
 }
+
+/// Why no target takes flows of `listener`.
+fn no_target(view: View<'_>, listener: &Listener) -> Unplaced {
+    let directory = view.directory;
+    let has_evacuated = directory.targets().any(|target| {
+        let is_served =
+            listener.shares.iter().any(|share| share.service_seed == target.service_seed);
+        is_served && directory.is_evacuated(target.domain_seed)
+    });
+    match directory.has_targets(listener) {
+        true if has_evacuated => Unplaced::Refused(Reason::Evacuated),
+        true => Unplaced::Refused(Reason::NoTarget),
+        // Announcements that lapsed in an outage of the store return, so the caller's next copy of
+        // the opening may find a target.
+        false => Unplaced::Waiting(Reason::NoTarget),
+    }
+}
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -3,7 +3,7 @@
 use catalog::{Directory, Presence, TargetId, TargetIndex};
 use rand::seq::IndexedRandom;
 
-use super::{KnownTarget, Warmup};
+use super::KnownTarget;
 use crate::{
     CheckVerdict, Counter, Dispatcher, DueCheck, Event, HostLoad, Reason, Segment, SegmentKind,
     Standing, StandingCause,
@@ -28,15 +28,7 @@
                 self.reset_flows(target, Reason::TargetGone);
             }
         }
-        self.warmups.retain(|target, _| directory.find_target(*target).is_some());
-        for position in 0..directory.target_count() {
-            let target = directory.target(TargetIndex(position));
-            if target.warmup_ms > 0 {
-                let total_ms = target.warmup_ms;
-                let ends_at_ms = now_ms + u64::from(total_ms);
-                self.warmups.entry(target.id).or_insert(Warmup { ends_at_ms, total_ms });
-            }
-        }
+        self.warmups.on_directory(directory, now_ms);
     }
 
     /// Notes the targets of `directory`, and forgets the health of those that have started again.
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -25,11 +25,17 @@
     StaleView = 606,
     /// The packet carries no tag and is not an opening.
     NoTag = 607,
+    /// All targets that could take the flow are in evacuated failure domains.
+    Evacuated = 608,
+    /// The service has no room for flows of this listener.
+    Crowded = 609,
+    /// Only targets in their warm-up could take the flow, and they take no more openings now.
+    Cold = 610,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 7] = [
+    pub const ALL: [Reason; 10] = [
         Reason::NoListener,
         Reason::NoTarget,
         Reason::TargetGone,
@@ -37,6 +43,9 @@
         Reason::UnknownTag,
         Reason::StaleView,
         Reason::NoTag,
+        Reason::Evacuated,
+        Reason::Crowded,
+        Reason::Cold,
     ];
 
     /// The result code.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -20,16 +20,21 @@
 mod health;
 mod load;
 mod openings;
+mod precedence;
 mod segment;
+mod speed;
 mod unknown_flows;
+mod warmup;
 
 pub use crate::{
     choice::{Candidate, ChoiceParams, Penalty, choose_target},
-    config::Config,
+    config::{Config, DomainExit, WarmupLimit},
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
     event::{Event, FlowReport, LatencySample, Reason, StandingCause},
     health::{CheckOutcome, DueCheck, Health, Standing, Verdict as CheckVerdict, judge_check},
     load::{HostLoad, ReportedLoads, TargetLoad},
+    precedence::Admission,
     segment::{FlowKey, Segment, SegmentKind, Verdict},
+    speed::AnswerStats,
 };
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -3,7 +3,7 @@
 use catalog::TargetId;
 use routing::HostId;
 
-use crate::Config;
+use crate::{AnswerStats, Config};
 
 /// The load of one target as seen by one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub busy: u32,
     /// Whether the host considers it dead.
     pub is_dead: bool,
+    /// How it answered recent requests.
+    pub answers: AnswerStats,
 }
 
 /// The load of all targets as seen by one host.
@@ -80,7 +82,13 @@
 
     /// The load of `target` as seen by all other hosts together. `is_dead` is never set.
     pub fn get(&self, target: TargetId) -> TargetLoad {
-        let empty = TargetLoad { target, flows: 0, busy: 0, is_dead: false };
+        let empty = TargetLoad {
+            target,
+            flows: 0,
+            busy: 0,
+            is_dead: false,
+            answers: AnswerStats::default(),
+        };
         self.totals
             .binary_search_by_key(&target, |total| total.target)
             .map_or(empty, |position| self.totals[position])
--- a/crates/tagged/tests/dead_target.rs
+++ b/crates/tagged/tests/dead_target.rs
@@ -8,7 +8,7 @@
 use catalog::{Presence, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, key, rows};
-use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
+use tagged::{AnswerStats, CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
 
 const TARGET: TargetId = TargetId(1);
 
@@ -74,7 +74,13 @@
     let report = HostLoad {
         is_near: true,
         host: HostId(9),
-        targets: vec![TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true }],
+        targets: vec![TargetLoad {
+            target: TARGET,
+            flows: 0,
+            busy: 0,
+            is_dead: true,
+            answers: AnswerStats::default(),
+        }],
     };
     let (mut host, tag) = busy_host();
     host.now_ms += 200;
--- a/crates/tagged/tests/late_death_report.rs
+++ b/crates/tagged/tests/late_death_report.rs
@@ -8,7 +8,7 @@
 use catalog::{FlowTag, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data};
-use tagged::{CheckVerdict, HostLoad, TargetLoad, Verdict};
+use tagged::{AnswerStats, CheckVerdict, HostLoad, TargetLoad, Verdict};
 
 const TARGET: TargetId = TargetId(1);
 
@@ -27,7 +27,13 @@
 }
 
 fn death_report(from: u64) -> HostLoad {
-    let load = TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true };
+    let load = TargetLoad {
+        target: TARGET,
+        flows: 0,
+        busy: 0,
+        is_dead: true,
+        answers: AnswerStats::default(),
+    };
     HostLoad { host: HostId(from), is_near: true, targets: vec![load] }
 }
 
--- a/crates/tagged/tests/openings.rs
+++ b/crates/tagged/tests/openings.rs
@@ -7,7 +7,7 @@
 use catalog::{Record, Stage, TargetId};
 use routing::HostId;
 use support::{FAR, Host, NEAR, data, opening, rows};
-use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
+use tagged::{AnswerStats, CheckVerdict, HostLoad, Reason, TargetLoad, Verdict};
 
 #[test]
 fn duplicate_opening() {
@@ -54,6 +54,7 @@
         flows,
         busy: 0,
         is_dead: false,
+        answers: AnswerStats::default(),
     };
     HostLoad { host: HostId(host), is_near, targets: flows.iter().map(load).collect() }
 }
--- a/crates/tagged/tests/reported_recheck.rs
+++ b/crates/tagged/tests/reported_recheck.rs
@@ -5,7 +5,7 @@
 use catalog::{FlowTag, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data};
-use tagged::{CheckVerdict, HostLoad, TargetLoad, Verdict};
+use tagged::{AnswerStats, CheckVerdict, HostLoad, TargetLoad, Verdict};
 
 const TARGET: TargetId = TargetId(1);
 
@@ -25,7 +25,13 @@
 fn report_death(host: &mut Host, tag: FlowTag, sequence: u32) {
     host.now_ms += 400;
     host.send(&data(0, tag, sequence, 50));
-    let load = TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true };
+    let load = TargetLoad {
+        target: TARGET,
+        flows: 0,
+        busy: 0,
+        is_dead: true,
+        answers: AnswerStats::default(),
+    };
     let load = HostLoad { host: HostId(9), is_near: true, targets: vec![load] };
     host.dispatcher.on_report(load, host.now_ms);
 }
--- a/crates/tagged/tests/reused_address.rs
+++ b/crates/tagged/tests/reused_address.rs
@@ -6,7 +6,7 @@
 
 use catalog::{FlowTag, Presence, Record, Revision, Row, TargetId};
 use support::{Host, NEAR, data, rows};
-use tagged::{CheckVerdict, HostLoad, Reason, TargetLoad, Verdict, View};
+use tagged::{AnswerStats, CheckVerdict, HostLoad, Reason, TargetLoad, Verdict, View};
 
 const DEAD: TargetId = TargetId(1);
 
@@ -97,7 +97,13 @@
     let report = HostLoad {
         host: routing::HostId(9),
         is_near: true,
-        targets: vec![TargetLoad { target: DEAD, flows: 0, busy: 0, is_dead: true }],
+        targets: vec![TargetLoad {
+            target: DEAD,
+            flows: 0,
+            busy: 0,
+            is_dead: true,
+            answers: AnswerStats::default(),
+        }],
     };
     host.dispatcher.on_report(report, host.now_ms);
     host.advance(4_000, false);
--- a/crates/tagged/tests/standing_causes.rs
+++ b/crates/tagged/tests/standing_causes.rs
@@ -5,7 +5,9 @@
 use catalog::{Presence, Record, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, rows};
-use tagged::{CheckVerdict, Event, HostLoad, Standing, StandingCause, TargetLoad, View};
+use tagged::{
+    AnswerStats, CheckVerdict, Event, HostLoad, Standing, StandingCause, TargetLoad, View,
+};
 
 const TARGET: TargetId = TargetId(1);
 const REPORTER: HostId = HostId(9);
@@ -36,7 +38,13 @@
 }
 
 fn report_death(host: &mut Host) {
-    let targets = vec![TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true }];
+    let targets = vec![TargetLoad {
+        target: TARGET,
+        flows: 0,
+        busy: 0,
+        is_dead: true,
+        answers: AnswerStats::default(),
+    }];
     let report = HostLoad { host: REPORTER, is_near: true, targets };
     host.dispatcher.on_report(report, host.now_ms);
 }
--- a/crates/tagged/tests/unlisted_rumor.rs
+++ b/crates/tagged/tests/unlisted_rumor.rs
@@ -5,7 +5,7 @@
 use catalog::{Presence, Revision, Row, TargetId};
 use routing::HostId;
 use support::{Host, NEAR, data, rows};
-use tagged::{HostLoad, TargetLoad, Verdict};
+use tagged::{AnswerStats, HostLoad, TargetLoad, Verdict};
 
 const TARGET: TargetId = TargetId(1);
 
@@ -13,7 +13,13 @@
 fn moved_flow() {
     let mut host = Host::new(&[(1, NEAR)]);
     let tag = host.directory.find_target(TARGET).and_then(|index| host.directory.tag_for(index));
-    let load = TargetLoad { target: TARGET, flows: 0, busy: 0, is_dead: true };
+    let load = TargetLoad {
+        target: TARGET,
+        flows: 0,
+        busy: 0,
+        is_dead: true,
+        answers: AnswerStats::default(),
+    };
     let load = HostLoad { host: HostId(9), is_near: true, targets: vec![load] };
     host.dispatcher.on_report(load, host.now_ms);
     host.now_ms += 1_000;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -89,9 +89,9 @@
 
 # Identifies a row of the catalog.
 struct RowKey {
-  # 0: no key, 1: limits, 2: service, 3: target, 4: listener.
+  # 0: no key, 1: limits, 2: service, 3: target, 4: listener, 5: evacuation.
   kind @0 :UInt8;
-  # The hash of a service's name, a target's id, or a listener's address and port.
+  # The hash of a service's or failure domain's name, a target's id, or a listener's address and port.
   id   @1 :UInt64;
 }
 
@@ -136,6 +136,14 @@
       seed       @10 :UInt64;
       healthPath @11 :Text;
       flowsMax   @12 :UInt32;
+      # Whether its cold targets have a limit on openings, and the limit in openings per 1,000 s.
+      limitsWarmup        @28 :Bool;
+      warmupOpeningsPerKs @29 :UInt32;
+    }
+    # The targets of the failure domain take no new flows.
+    evacuation :group {
+      domainSeed @30 :UInt64;
+      domain     @31 :Text;
     }
     target :group {
       id          @13 :UInt64;
@@ -188,6 +196,11 @@
   # The flows with a request in flight; an overdue request counts several times.
   busy   @2 :UInt32;
   isDead @3 :Bool;
+  # The sender's recent requests: how many were answered, their mean time to the answer, and how
+  # many were answered much too fast or ended without an answer.
+  answers  @4 :UInt32;
+  meanUs   @5 :UInt32;
+  failures @6 :UInt32;
 }
 
 # A control message, the body of a frame of kind `Control`.
--- a/crates/wire/src/catalog_rows.rs
+++ b/crates/wire/src/catalog_rows.rs
@@ -3,8 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use catalog::{
-    Digest, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row, Service, Share,
-    Stage, Target, TargetId,
+    Digest, Evacuation, Key, Limits, Listener, Presence, Record, RequestKind, Revision, Row,
+    Service, Share, Stage, Target, TargetId,
 };
 use relay::{Heartbeat, KeyRange, Message, Pull, RowBatch, Scope};
 use routing::HostId;
@@ -101,6 +101,7 @@
         Some(Key::Limits) => (1, 0),
         Some(Key::Service(seed)) => (2, seed),
         Some(Key::Target(target)) => (3, target.0),
+        Some(Key::Evacuation(domain_seed)) => (5, domain_seed),
         Some(Key::Listener(address)) => {
             (4, u64::from(address.ip().to_bits()) << 16 | u64::from(address.port()))
         }
@@ -117,6 +118,7 @@
         2 => Ok(Some(Key::Service(id))),
         3 => Ok(Some(Key::Target(TargetId(id)))),
         4 => Ok(Some(Key::Listener(address((id >> 16) as u32, id as u16)))),
+        5 => Ok(Some(Key::Evacuation(id))),
         other => Err(DecodeError(format!("unknown kind of key {other}"))),
     }
 }
@@ -142,6 +144,13 @@
             out.set_seed(service.seed);
             out.set_health_path(&service.health_path);
             out.set_flows_max(service.flows_max);
+            out.set_limits_warmup(service.warmup_openings_per_ks.is_some());
+            out.set_warmup_openings_per_ks(service.warmup_openings_per_ks.unwrap_or(0));
+        }
+        Record::Evacuation(evacuation) => {
+            let mut out = out.init_evacuation();
+            out.set_domain_seed(evacuation.domain_seed);
+            out.set_domain(&evacuation.domain);
         }
         Record::Target(target) => {
             let mut out = out.init_target();
@@ -194,6 +203,16 @@
                 .to_string()
                 .map_err(|error| DecodeError(format!("health path: {error}")))?,
             flows_max: service.get_flows_max(),
+            warmup_openings_per_ks: service
+                .get_limits_warmup()
+                .then(|| service.get_warmup_openings_per_ks()),
+        }),
+        row::Evacuation(evacuation) => Record::Evacuation(Evacuation {
+            domain_seed: evacuation.get_domain_seed(),
+            domain: evacuation
+                .get_domain()?
+                .to_string()
+                .map_err(|error| DecodeError(format!("domain: {error}")))?,
         }),
         row::Target(target) => Record::Target(Target {
             id: TargetId(target.get_id()),
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -142,6 +142,9 @@
                 out.set_flows(load.flows);
                 out.set_busy(load.busy);
                 out.set_is_dead(load.is_dead);
+                out.set_answers(load.answers.answers);
+                out.set_mean_us(load.answers.mean_us);
+                out.set_failures(load.answers.failures);
             }
         }
     }
@@ -198,6 +201,11 @@
                     flows: load.get_flows(),
                     busy: load.get_busy(),
                     is_dead: load.get_is_dead(),
+                    answers: tagged::AnswerStats {
+                        answers: load.get_answers(),
+                        mean_us: load.get_mean_us(),
+                        failures: load.get_failures(),
+                    },
                 })
                 .collect(),
         )),
--- a/crates/wire/tests/catalog_messages.rs
+++ b/crates/wire/tests/catalog_messages.rs
@@ -18,7 +18,12 @@
 fn rows() -> Vec<Row> {
     let records = [
         Record::Limits(Limits { idle_timeout_ms: 30_000 }),
-        Record::Service(Service { seed: 7, health_path: "/health".to_owned(), flows_max: 3_000 }),
+        Record::Service(Service {
+            seed: 7,
+            health_path: "/health".to_owned(),
+            flows_max: 3_000,
+            warmup_openings_per_ks: Some(1_500),
+        }),
         Record::Target(Target {
             id: TargetId(u64::MAX),
             service_seed: 7,
