--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -40,11 +40,15 @@
     ListenerKeyCollision = 116,
     /// A UDP listener is of kind request, but nothing would free the slots of its flows.
     DatagramRequest = 117,
+    /// Advice: nothing can ever use an entry. The tree is accepted.
+    NeverMatches = 118,
+    /// Advice: two limits contradict each other. The tree is accepted.
+    ContradictoryLimits = 119,
 }
 
 impl Code {
     /// Every code, in numeric order.
-    pub const ALL: [Code; 17] = [
+    pub const ALL: [Code; 19] = [
         Code::InvalidJson,
         Code::SchemaMismatch,
         Code::DuplicateTarget,
@@ -62,8 +66,15 @@
         Code::UnknownPath,
         Code::ListenerKeyCollision,
         Code::DatagramRequest,
+        Code::NeverMatches,
+        Code::ContradictoryLimits,
     ];
 
+    /// Whether settings with such a fault are accepted all the same.
+    pub fn is_advice(self) -> bool {
+        matches!(self, Code::NeverMatches | Code::ContradictoryLimits)
+    }
+
     /// The stable number of this code.
     pub fn number(self) -> u16 {
         self as u16
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 //! Architecture Invariant: a [`Snapshot`] is compiled only from a tree that passed [`check()`], and
 //! depends only on that tree and its revision.
 
+mod advice;
 mod blobs;
 mod check;
 mod explain;
@@ -16,6 +17,7 @@
 mod tree;
 
 pub use crate::{
+    advice::advise,
     blobs::{BLOB_LIMIT_BYTES, Blobs, Digest, Group, Packed, Root, RootError, pack, unpack},
     check::{check, check_change, parse, schema},
     explain::{EffectiveValue, explain},
--- a/crates/wagtailstall/src/edit.rs
+++ b/crates/wagtailstall/src/edit.rs
@@ -10,7 +10,7 @@
 use argh::FromArgs;
 use eyre::{WrapErr, eyre};
 use serde_json::{Value, json};
-use settings::{Blobs, Tree, check_change, parse};
+use settings::{Blobs, Fault, Tree, check_change, parse};
 use smol::Timer;
 use store::{Accepted, Edit, Wait, accept, load, read_root};
 
@@ -31,6 +31,9 @@
     /// the JSON file with the tree
     #[argh(positional)]
     file: PathBuf,
+    /// the file is a configuration of the users' platform, not a tree
+    #[argh(switch)]
+    platform: bool,
 }
 
 /// show how a settings tree differs from the one in force
@@ -40,6 +43,9 @@
     /// the JSON file with the tree
     #[argh(positional)]
     file: PathBuf,
+    /// the file is a configuration of the users' platform, which --store names
+    #[argh(switch)]
+    platform: bool,
 }
 
 /// apply a settings tree
@@ -73,7 +79,16 @@
 }
 
 pub(crate) fn check(context: &Context, command: &Check) -> Outcome {
+    if command.platform {
+        read_configuration(&command.file)?;
+        match context.format {
+            Format::Json => print_json(&json!({})),
+            Format::Text => println!("no faults"),
+        }
+        return Ok(());
+    }
     let tree = read_tree(&command.file)?;
+    print_advice(&settings::advise(&tree));
     let targets: usize = tree
         .services
         .values()
@@ -88,10 +103,30 @@
 }
 
 pub(crate) async fn diff(context: &Context, command: &Diff) -> Outcome {
+    if command.platform {
+        return diff_configuration(context, &command.file).await;
+    }
     let new = read_tree(&command.file)?;
+    print_advice(&settings::advise(&new));
     let (revision, old) = load_current(context).await?;
     let faults = check_change(&old, &new);
-    let changes = diff_leaves(&old, &new)?;
+    let changes = diff_leaves(to_value(&old)?, to_value(&new)?);
+    print_changes(context, revision, &changes);
+    if faults.is_empty() { Ok(()) } else { Err(Failure::InvalidSettings(faults)) }
+}
+
+/// Prints how the configuration in `file` differs from the one in force on the users' platform.
+async fn diff_configuration(context: &Context, file: &Path) -> Outcome {
+    let new = read_configuration(file)?;
+    let address = context.platform_store.ok_or_else(|| eyre!("name the store with --store"))?;
+    let old = platform::read_configuration(address).await?.unwrap_or_else(|| b"{}".to_vec());
+    let old: Value = serde_json::from_slice(&old).wrap_err("102: the configuration in force")?;
+    let version = old.get("version").and_then(Value::as_u64).unwrap_or(0);
+    print_changes(context, version, &diff_leaves(old, new));
+    Ok(())
+}
+
+fn print_changes(context: &Context, revision: u64, changes: &Changes) {
     match context.format {
         Format::Json => print_json(&json!({ "base": revision, "changes": changes })),
         Format::Text => {
@@ -103,7 +138,6 @@
             print_table(&["path", "in force", "new"], &rows);
         }
     }
-    if faults.is_empty() { Ok(()) } else { Err(Failure::InvalidSettings(faults)) }
 }
 
 pub(crate) async fn apply(context: &Context, command: &Apply) -> Outcome {
@@ -195,21 +229,47 @@
     parse(&text).map_err(Failure::InvalidSettings)
 }
 
-/// Returns the old and new values of all leaves that differ, by JSON pointer.
-fn diff_leaves(old: &Tree, new: &Tree) -> Result<BTreeMap<String, (Value, Value)>, Failure> {
-    let mut leaves: BTreeMap<String, (Value, Value)> = BTreeMap::new();
-    for (path, value) in flatten(old)? {
+/// Reads and checks a configuration of the users' platform, and prints advice on it.
+fn read_configuration(file: &Path) -> Result<Value, Failure> {
+    let text =
+        fs::read(file).wrap_err_with(|| format!("121: {} cannot be read", file.display()))?;
+    let faults = platform::check_configuration(&text);
+    let (advice, errors): (Vec<Fault>, Vec<Fault>) =
+        faults.into_iter().partition(|fault| fault.code.is_advice());
+    if !errors.is_empty() {
+        return Err(Failure::InvalidSettings(errors));
+    }
+    print_advice(&advice);
+    Ok(serde_json::from_slice(&text).wrap_err("101: the file is not JSON")?)
+}
+
+fn print_advice(advice: &[Fault]) {
+    for fault in advice {
+        eprintln!("advice {fault}");
+    }
+}
+
+fn to_value(tree: &Tree) -> Result<Value, Failure> {
+    Ok(serde_json::to_value(tree).wrap_err("the tree cannot be encoded as JSON")?)
+}
+
+/// The old and new values of leaves that differ, by JSON pointer.
+type Changes = BTreeMap<String, (Value, Value)>;
+
+fn diff_leaves(old: Value, new: Value) -> Changes {
+    let mut leaves = Changes::new();
+    for (path, value) in flatten(old) {
         leaves.entry(path).or_default().0 = value;
     }
-    for (path, value) in flatten(new)? {
+    for (path, value) in flatten(new) {
         leaves.entry(path).or_default().1 = value;
     }
     leaves.retain(|_, (old, new)| old != new);
-    Ok(leaves)
+    leaves
 }
 
-fn flatten(tree: &Tree) -> Result<BTreeMap<String, Value>, Failure> {
-    let value = serde_json::to_value(tree).wrap_err("the tree cannot be encoded as JSON")?;
+/// The leaves of `value`. Entries of a list that have a name go by it, not by their position.
+fn flatten(value: Value) -> BTreeMap<String, Value> {
     let mut leaves = BTreeMap::new();
     let mut pending = vec![(String::new(), value)];
     while let Some((path, value)) = pending.pop() {
@@ -219,12 +279,18 @@
                     fields.into_iter().map(|(name, value)| (format!("{path}/{name}"), value)),
                 );
             }
+            Value::Array(entries) if entries.iter().all(|entry| entry["name"].is_string()) => {
+                pending.extend(entries.into_iter().map(|entry| {
+                    let name = entry["name"].as_str().unwrap_or_default();
+                    (format!("{path}/{name}"), entry)
+                }));
+            }
             leaf => {
                 leaves.insert(path, leaf);
             }
         }
     }
-    Ok(leaves)
+    leaves
 }
 
 fn format_value(value: &Value) -> String {
--- a/crates/wagtailstall/src/main.rs
+++ b/crates/wagtailstall/src/main.rs
@@ -66,6 +66,8 @@
 #[derive(Debug)]
 struct Context {
     store: ConsulClient,
+    /// The address of the users' platform's store, which has a protocol of its own.
+    platform_store: Option<SocketAddr>,
     admin: Vec<SocketAddr>,
     format: output::Format,
 }
@@ -73,8 +75,12 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let format = if arguments.json { output::Format::Json } else { output::Format::Text };
-    let context =
-        Context { store: ConsulClient::new(&arguments.store), admin: arguments.admin, format };
+    let context = Context {
+        store: ConsulClient::new(&arguments.store),
+        platform_store: arguments.store.first().copied(),
+        admin: arguments.admin,
+        format,
+    };
     match smol::block_on(run(&context, arguments.command)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => failure.report(),
