Keep openings away from evacuated failure domains

Cause: the operator's key that empties a failure domain was not read, so its targets went on taking openings.

Change: the key is decoded into a row of the catalog, whatever its value; a key without a plain name is rejected, counted and logged once for each write. Evacuations go through reads, removals and listings like targets: a removal in a healthy store takes them back at once, what is missing after an outage lapses and still counts, and a listing corrects a false absence. They precede services in transfers and pushes, so no large change delays them. Copies of an opening leave an evacuated target; late copies of an established flow stay there, since another target would take them for a new flow. Events 1109 and 1110, the metrics evacuations_in_force, openings_to_evacuated and entries_rejected, /status and `wagtailstall status` show evacuations.

--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -115,15 +115,15 @@
 /// Identifies a row; rows are sorted by key.
 ///
 /// Transfers between hosts go in this order. Listeners are last: there may be thousands, and a target
-/// that leaves must not wait for them.
+/// that leaves must not wait for them. Evacuations precede what there may be hundreds of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Key {
     /// The limits.
     Limits,
-    /// The service whose name has this hash.
-    Service(u64),
     /// The evacuation of the failure domain whose name has this hash.
     Evacuation(u64),
+    /// The service whose name has this hash.
+    Service(u64),
     /// The target with this id.
     Target(TargetId),
     /// The listener at this address.
@@ -317,6 +317,9 @@
     /// `known`, but was written or is listed later, corrects a false absence or a start time by a
     /// clock that was behind.
     pub(crate) fn corrected(mut self, known: &Row, listed_at: Revision) -> Row {
+        if matches!(self.record, Record::Evacuation(_)) {
+            return self.relisted(known, listed_at);
+        }
         let (Record::Target(target), Record::Target(known_target)) = (&self.record, &known.record)
         else {
             return self;
@@ -346,4 +349,14 @@
         }
         Row { clock_resets: clock_resets.saturating_add(1), ..corrected }
     }
+
+    /// This row of an item that is written once, as of the read that shows that `known` is not absent.
+    fn relisted(self, known: &Row, listed_at: Revision) -> Row {
+        let revision = listed_at.max(self.revision);
+        let is_absence = known.presence != Presence::Listed && revision >= known.revision;
+        if self.supersedes(known) || !is_absence {
+            return self;
+        }
+        Row { revision, is_relisted: true, ..self }
+    }
 }
--- a/crates/catalog/tests/rows.rs
+++ b/crates/catalog/tests/rows.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Absence, Catalog, Directory, Listener, Presence, Record, RequestKind, Revision, Row, Share,
-    Stage, Target, TargetId,
+    Absence, Catalog, Directory, Evacuation, Listener, Presence, Record, RequestKind, Revision,
+    Row, Share, Stage, Target, TargetId,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -32,6 +32,10 @@
     })
 }
 
+fn evacuation(domain_seed: u64) -> Record {
+    Record::Evacuation(Evacuation { domain_seed, domain: format!("domain-{domain_seed}") })
+}
+
 fn listed(revision: u64, record: Record) -> Row {
     Row::written(Revision::new(1, revision), revision, record)
 }
@@ -77,10 +81,31 @@
     assert!(!catalog.merge(late), "a later revision lists the target again");
 }
 
+/// What a reader concludes from listings, in order.
+#[test]
+fn relisted_evacuation() {
+    let at = |number| Revision::new(1, number);
+    let row = |number| Row::written(at(number), 0, evacuation(1));
+    for (absence_at, listed_at, written_at, is_in_force) in
+        [(5, 5, 3, true), (5, 6, 3, true), (6, 5, 3, false), (5, 7, 7, true)]
+    {
+        let mut catalog = catalog(&[row(3)]);
+        catalog.mark_absent(at(absence_at), Absence::Conclusive, |_| true);
+        assert!(Directory::new(&catalog).evacuations().is_empty());
+        catalog.merge_read(row(written_at), Some(at(listed_at)));
+        let is_found = Directory::new(&catalog).is_evacuated(1);
+        assert_eq!(is_found, is_in_force, "{absence_at} {listed_at} {written_at}");
+        // A late copy of the first write changes nothing.
+        catalog.merge(row(3));
+        assert_eq!(Directory::new(&catalog).is_evacuated(1), is_in_force);
+    }
+}
+
 fn any_row() -> impl Strategy<Value = Row> {
     let record = prop_oneof![
         (0..4u64, 0..2u16).prop_map(|(id, port)| target(id, port)),
         (0..4u16).prop_map(listener),
+        (0..3u64).prop_map(evacuation),
     ];
     (1..8u64, 0..3u8, record).prop_map(|(revision, presence, record)| {
         let presence = match presence {
@@ -91,7 +116,11 @@
         // A target is absent at a later revision than that of its announcement.
         let is_absence = presence != Presence::Listed && !record.is_settings();
         let row = listed(revision, record);
-        Row { presence, edition: revision - u64::from(is_absence), ..row }
+        let edition = match &row.record {
+            Record::Evacuation(_) => 0,
+            _ => revision - u64::from(is_absence),
+        };
+        Row { presence, edition, ..row }
     })
 }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -10,7 +10,9 @@
 use telemetry::{Event, field};
 use wire::Control as Message;
 
-use crate::{Decoded, KeyKind, Platform, replay::ReplayGuard, shared::Shared};
+use crate::{
+    Decoded, KeyKind, Platform, rejections::Rejections, replay::ReplayGuard, shared::Shared,
+};
 
 /// The interval between load reports to the own failure domain, in milliseconds for each other host
 /// of the domain. All of them together send a host fewer than 20 reports a second.
@@ -35,6 +37,7 @@
     relay: Relay,
     replay_guard: ReplayGuard,
     target_keys: TargetKeys,
+    rejections: Rejections,
     members_version: u64,
     /// Whether the last call to the store succeeded; a change is logged.
     is_store_available: bool,
@@ -71,6 +74,7 @@
             relay: Relay::new(config, shared.me, shared.domain_seed, now_ms, seed),
             replay_guard: ReplayGuard::default(),
             target_keys: TargetKeys::default(),
+            rejections: Rejections::new(shared.entries_rejected.clone()),
             members_version: 0,
             is_store_available: true,
             loads_sent_at_ms: 0,
@@ -180,33 +184,39 @@
         let mut items: Vec<&Item> = listing.items.iter().collect();
         // Of several keys with the id of a target, its own was created first.
         items.sort_by_key(|item| item.created);
-        let (settings, targets) = self.decode_all::<P>(items.into_iter());
-        let removed = self.unlisted_targets::<P>(&listing);
+        let (settings, rows) = self.decode_all::<P>(items.into_iter());
+        let removed = self.unlisted_rows::<P>(&listing);
         let (revision, valid_at_ms) = (listing.revision, sent_at_ms);
-        self.apply_update(StoreUpdate { revision, settings, targets, removed, valid_at_ms }, now_ms)
+        self.apply_update(StoreUpdate { revision, settings, rows, removed, valid_at_ms }, now_ms)
     }
 
-    /// The targets of the catalog that the listing lacks. An entry that cannot be decoded still
+    /// The targets and evacuations of the catalog that the listing lacks. An entry that cannot be decoded still
     /// counts as listed.
-    fn unlisted_targets<P: Platform>(&self, listing: &Listing) -> Vec<(Revision, Key)> {
-        let mut listed: Vec<Key> = listing
-            .items
-            .iter()
-            .filter_map(|item| match P::key_kind(&item.key) {
-                KeyKind::Target(id) if self.target_keys.may_announce(id, &item.key) => {
-                    Some(Key::Target(id))
-                }
-                _ => None,
-            })
-            .collect();
+    fn unlisted_rows<P: Platform>(&self, listing: &Listing) -> Vec<(Revision, Key)> {
+        let mut listed: Vec<Key> =
+            listing.items.iter().filter_map(|item| self.row_key::<P>(&item.key)).collect();
         listed.sort_unstable();
         let rows = self.relay.catalog().rows().iter();
         rows.map(|row| row.record.key())
-            .filter(|key| matches!(key, Key::Target(_)) && listed.binary_search(key).is_err())
+            .filter(|key| {
+                matches!(key, Key::Target(_) | Key::Evacuation(_))
+                    && listed.binary_search(key).is_err()
+            })
             .map(|key| (listing.revision, key))
             .collect()
     }
 
+    /// The row that the item under `key` holds, unless it is part of the settings.
+    fn row_key<P: Platform>(&self, key: &str) -> Option<Key> {
+        match P::key_kind(key) {
+            KeyKind::Target(id) => {
+                self.target_keys.may_announce(id, key).then_some(Key::Target(id))
+            }
+            KeyKind::Evacuation(domain_seed) => Some(Key::Evacuation(domain_seed)),
+            KeyKind::Settings | KeyKind::Other => None,
+        }
+    }
+
     /// Applies the changes that a watch call returned.
     pub(crate) fn on_change_list<P: Platform>(
         &mut self,
@@ -219,21 +229,16 @@
             Change::Written(item) => Some(item),
             Change::Removed { .. } => None,
         });
-        let (settings, targets) = self.decode_all::<P>(written);
+        let (settings, rows) = self.decode_all::<P>(written);
         let removed = list.changes.iter().filter_map(|change| match change {
-            Change::Removed { key, revision } => match P::key_kind(key) {
-                KeyKind::Target(id) if self.target_keys.may_announce(id, key) => {
-                    Some((*revision, Key::Target(id)))
-                }
-                _ => None,
-            },
+            Change::Removed { key, revision } => self.row_key::<P>(key).map(|key| (*revision, key)),
             Change::Written(_) => None,
         });
         let (revision, removed) = (list.revision, removed.collect());
-        self.apply_update(StoreUpdate { revision, settings, targets, removed, valid_at_ms }, now_ms)
+        self.apply_update(StoreUpdate { revision, settings, rows, removed, valid_at_ms }, now_ms)
     }
 
-    /// The settings and the rows of targets in `items`. Items that cannot be decoded change nothing.
+    /// The settings and the rows of targets and evacuations in `items`. Items that cannot be decoded change nothing.
     fn decode_all<'a, P: Platform>(
         &mut self,
         items: impl Iterator<Item = &'a Item>,
@@ -242,35 +247,37 @@
         if self.target_keys.len() > 2 * catalog.rows().len() {
             self.target_keys.retain(|id| catalog.get(Key::Target(id)).is_some());
         }
-        let (mut settings, mut targets) = (Vec::new(), Vec::new());
+        let (mut settings, mut rows) = (Vec::new(), Vec::new());
         for item in items {
             let Decoded { edition, records } = match P::decode(item) {
                 Ok(decoded) => decoded,
                 Err(error) => {
-                    log_rejected(item, error);
+                    self.rejections.record(item, error);
                     continue;
                 }
             };
             if let KeyKind::Target(id) = P::key_kind(&item.key)
                 && !self.target_keys.admit(id, &item.key)
             {
-                log_rejected(item, format_args!("another key announces target {:x}", id.0));
+                self.rejections
+                    .record(item, format_args!("another key announces target {:x}", id.0));
                 continue;
             }
             let revision = item.revision;
             if P::key_kind(&item.key) == KeyKind::Settings {
                 let in_force = catalog.settings_version();
                 if edition < in_force {
-                    log_rejected(item, format_args!("version {edition} is before {in_force}"));
+                    self.rejections
+                        .record(item, format_args!("version {edition} is before {in_force}"));
                 }
                 settings.push(Settings { version: edition, revision, records });
                 continue;
             }
             let created = item.created;
-            let rows = records.into_iter().map(|record| Row::written(revision, edition, record));
-            targets.extend(rows.map(|row| Row { created, ..row }));
+            let written = records.into_iter().map(|record| Row::written(revision, edition, record));
+            rows.extend(written.map(|row| Row { created, ..row }));
         }
-        (settings, targets)
+        (settings, rows)
     }
 
     /// Notes that a call to the store failed.
@@ -317,14 +324,6 @@
     }
 }
 
-fn log_rejected(item: &Item, cause: impl std::fmt::Display) {
-    let (key, revision) = (&item.key, item.revision);
-    telemetry::emit(
-        Event::EntryRejected,
-        &[field("key", key), field("revision", revision), field("cause", cause)],
-    );
-}
-
 fn relay_message(outgoing: relay::Outgoing) -> (SocketAddr, Message) {
     (outgoing.to, Message::Relay(outgoing.message))
 }
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -28,7 +28,9 @@
 use crate::{
     EdgeSettings, Platform, checks, clock,
     control::{Core, OutgoingMessages},
-    decision_log, pages, reader,
+    decision_log,
+    evacuations::Evacuations,
+    pages, reader,
     shared::{Command, Notice, Shared},
 };
 
@@ -102,6 +104,7 @@
     /// Datagrams that are received before this time are discarded, by the monotonic clock.
     discard_until_ms: Rc<Cell<u64>>,
     role_changes: (Sender<()>, Receiver<()>),
+    evacuations: Rc<RefCell<Evacuations>>,
 }
 
 /// Registers the signals that a host handles. Until then a SIGHUP ends the process.
@@ -126,6 +129,7 @@
             published: Rc::default(),
             is_stopping: Rc::default(),
             loads: Rc::default(),
+            evacuations: Rc::default(),
             last_run_at_ms: Rc::new(Cell::new(clock::now_ms())),
             discard_until_ms: Rc::default(),
             role_changes: bounded(1),
@@ -207,6 +211,7 @@
                 field("view_age_ms", now_ms.saturating_sub(confirmed_at_ms)),
             ],
         );
+        self.evacuations.borrow_mut().update(&directory, now_ms);
         self.shared.directory.store(Some(Arc::new(directory)));
         self.publish_times(relay, confirmed_at_ms);
         if published.is_none() {
@@ -215,6 +220,18 @@
         }
     }
 
+    /// The evacuations in force; `domains` are the failure domains of known hosts.
+    pub(crate) fn report_evacuations(
+        &self,
+        domains: &[u64],
+        now_ms: u64,
+    ) -> Vec<serde_json::Value> {
+        match &*self.shared.directory.load() {
+            Some(directory) => self.evacuations.borrow().report(directory, domains, now_ms),
+            None => Vec::new(),
+        }
+    }
+
     /// Publishes the times that apply to the published directory.
     fn publish_times(&self, relay: &Relay, confirmed_at_ms: u64) {
         self.shared.confirmed_at_ms.store(confirmed_at_ms, Ordering::Release);
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -13,7 +13,7 @@
 use smol_hyper::rt::FuturesIo;
 use tagged::{Counters, FlowKey};
 
-use crate::{Platform, clock, control_thread::State, shared::Command};
+use crate::{Platform, clock, control_thread::State, evacuations, shared::Command};
 
 /// Listens on `address`, which the setting `name` gives.
 pub(crate) async fn listen(name: &str, address: SocketAddr) -> Result<TcpListener> {
@@ -88,6 +88,8 @@
                 })
             })
             .collect();
+        let domains: Vec<u64> = core.members().members().map(|member| member.domain_seed).collect();
+        let evacuations = state.report_evacuations(&domains, now_ms);
         json!({
             "host": shared.settings.host,
             "host_id": format!("{:016x}", shared.me.0),
@@ -102,6 +104,7 @@
             "flows": traffic.flows,
             "counters": counters,
             "members": members,
+            "evacuations": evacuations,
         })
     })
 }
@@ -162,12 +165,16 @@
     let sent = [
         ("row_bytes_sent", &state.shared.row_bytes_sent),
         ("row_pulls_sent", &state.shared.pulls_sent),
+        ("entries_rejected", &state.shared.entries_rejected),
     ];
     for (name, count) in sent {
         let count = count.clone();
         let read_count = move || vec![(count.load(Ordering::Relaxed), Vec::new())];
         state.shared.metrics.observe(name, read_count);
     }
+    let shared = state.shared.clone();
+    let read_evacuations = move || evacuations::count(&shared);
+    state.shared.metrics.observe_level("evacuations_in_force", read_evacuations);
     let lines_dropped = || vec![(telemetry::lines_dropped(), Vec::new())];
     state.shared.metrics.observe("log_lines_dropped", lines_dropped);
     register_reason_counters(state, "flows_reset", Counters::resets);
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -13,6 +13,8 @@
     Settings,
     /// The announcement of one target.
     Target(TargetId),
+    /// The request to evacuate the failure domain whose name has this hash.
+    Evacuation(u64),
     /// Data that hosts do not use.
     Other,
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -81,6 +81,8 @@
     /// The bytes of rows and the number of pulls that the control thread has sent to other hosts.
     pub(crate) row_bytes_sent: Arc<AtomicU64>,
     pub(crate) pulls_sent: Arc<AtomicU64>,
+    /// The number of writes to the store that cannot be used.
+    pub(crate) entries_rejected: Arc<AtomicU64>,
     pub(crate) metrics: Metrics,
     is_exiting: AtomicBool,
 }
@@ -106,6 +108,7 @@
             status: Arc::default(),
             row_bytes_sent: Arc::default(),
             pulls_sent: Arc::default(),
+            entries_rejected: Arc::default(),
             metrics: Metrics::new()?,
             is_exiting: AtomicBool::new(false),
         }))
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -40,9 +40,9 @@
     pub revision: Revision,
     /// The settings as they were written, in order.
     pub settings: Vec<Settings>,
-    /// The rows of the listed targets, each with the revision at which it was written.
-    pub targets: Vec<Row>,
-    /// The targets that are no longer listed, each with the revision of its removal.
+    /// The rows of the listed targets and evacuations, each with the revision at which it was written.
+    pub rows: Vec<Row>,
+    /// The targets and evacuations that are no longer listed, each with the revision of its removal.
     pub removed: Vec<(Revision, Key)>,
     /// The time at which the read was current, by the monotonic clock.
     pub valid_at_ms: u64,
@@ -160,7 +160,7 @@
 
     /// Applies what this host read from the store and returns the messages that distribute it.
     pub fn on_store_update(&mut self, update: StoreUpdate, now_ms: u64) -> Vec<Outgoing> {
-        let StoreUpdate { revision, settings, targets, removed, valid_at_ms } = update;
+        let StoreUpdate { revision, settings, rows, removed, valid_at_ms } = update;
         if self.is_mass_lapse(&removed) || revision.era > self.catalog.revision().era {
             // An outage shorter than a blocking read makes no call fail.
             self.store_health.on_failure();
@@ -174,7 +174,7 @@
             settings_version = settings.version.max(settings_version);
             changed_rows.extend(self.merge_settings(settings));
         }
-        for row in targets {
+        for row in rows {
             let key = row.record.key();
             let shows_listing =
                 self.follows_known(key, revision) && !removed.iter().any(|entry| entry.1 == key);
--- a/crates/relay/tests/advanced_transfer.rs
+++ b/crates/relay/tests/advanced_transfer.rs
@@ -27,8 +27,8 @@
     let limits = Record::Limits(Limits { idle_timeout_ms: 15_000 });
     let records = std::iter::once(limits).chain((0..routes).map(|port| listener(port, 1)));
     let settings = vec![Settings { version: number, revision, records: records.collect() }];
-    let targets = vec![listed(20, target(1))];
-    StoreUpdate { revision, settings, targets, removed: Vec::new(), valid_at_ms: 0 }
+    let rows = vec![listed(20, target(1))];
+    StoreUpdate { revision, settings, rows, removed: Vec::new(), valid_at_ms: 0 }
 }
 
 fn host(id: u64, peer: u64) -> Relay {
--- a/crates/relay/tests/false_lapse.rs
+++ b/crates/relay/tests/false_lapse.rs
@@ -18,12 +18,12 @@
 /// A read of the store at the revision with this number of the first era.
 fn read(
     number: u64,
-    targets: Vec<Row>,
+    rows: Vec<Row>,
     removed: Vec<(Revision, Key)>,
     valid_at_ms: u64,
 ) -> StoreUpdate {
     let revision = Revision::new(1, number);
-    StoreUpdate { revision, settings: Vec::new(), targets, removed, valid_at_ms }
+    StoreUpdate { revision, settings: Vec::new(), rows, removed, valid_at_ms }
 }
 
 fn full_listing(now_ms: u64) -> StoreUpdate {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -7,7 +7,8 @@
 use std::net::{SocketAddr, SocketAddrV4};
 
 use catalog::{
-    Key, Listener, Presence, Record, RequestKind, Revision, Row, Share, Stage, Target, TargetId,
+    Directory, Evacuation, Key, Listener, Presence, Record, RequestKind, Revision, Row, Share,
+    Stage, Target, TargetId,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use relay::{Config, Message, Outgoing, Peer, Relay, Role};
@@ -42,6 +43,11 @@
     })
 }
 
+/// The evacuation of this failure domain.
+pub fn evacuation(domain_seed: u64) -> Record {
+    Record::Evacuation(Evacuation { domain_seed, domain: format!("domain-{domain_seed}") })
+}
+
 /// The row of a record that was written at the revision with this number of the first era.
 pub fn listed(number: u64, record: Record) -> Row {
     Row::written(Revision::new(1, number), number, record)
@@ -258,6 +264,12 @@
         catalog.get(Key::Target(TargetId(id))).map(|row| row.presence)
     }
 
+    /// The evacuated failure domains in a host's catalog.
+    pub fn evacuated(&self, index: usize) -> Vec<u64> {
+        let directory = Directory::new(self.hosts[index].relay.catalog());
+        directory.evacuations().iter().map(|evacuation| evacuation.domain_seed).collect()
+    }
+
     /// Whether a host may place new flows by its catalog.
     pub fn can_place_flows(&self, index: usize) -> bool {
         self.now_ms < self.hosts[index].relay.placement_until_ms()
--- a/crates/relay/tests/support/store.rs
+++ b/crates/relay/tests/support/store.rs
@@ -3,7 +3,7 @@
 use catalog::{Catalog, Key, Limits, Record, Revision, Row, Stage, Target, TargetId};
 use relay::{Settings, StoreUpdate};
 
-use super::{Fleet, target};
+use super::{Fleet, evacuation, target};
 
 /// Whether the store is available.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,10 +41,10 @@
         let revision = Revision::new(era, self.revision);
         let known = catalog.rows().iter().map(|row| row.record.key());
         let removed = known
-            .filter(|key| matches!(key, Key::Target(_)) && !self.lists(*key))
+            .filter(|key| matches!(key, Key::Target(_) | Key::Evacuation(_)) && !self.lists(*key))
             .map(|key| (revision, key))
             .collect();
-        let targets = self.targets.iter().map(|(number, edition, record)| {
+        let rows = self.targets.iter().map(|(number, edition, record)| {
             Row::written(Revision::new(era, *number), *edition, record.clone())
         });
         let settings = self.settings.iter().map(|(number, version, records)| Settings {
@@ -55,7 +55,7 @@
         StoreUpdate {
             revision,
             settings: settings.collect(),
-            targets: targets.collect(),
+            rows: rows.collect(),
             removed,
             valid_at_ms: now_ms,
         }
@@ -125,13 +125,27 @@
     fn write_target(&mut self, record: Record) {
         self.contents.revision += 1;
         self.writes += 1;
-        let entry = (self.contents.revision, self.writes, record);
+        let edition = if matches!(record, Record::Evacuation(_)) { 0 } else { self.writes };
+        let entry = (self.contents.revision, edition, record);
         for contents in [&mut self.contents, &mut self.written] {
             contents.targets.retain(|other| other.2.key() != entry.2.key());
             contents.targets.push(entry.clone());
         }
     }
 
+    /// Requests the evacuation of a failure domain.
+    pub fn evacuate(&mut self, domain_seed: u64) {
+        self.write_target(evacuation(domain_seed));
+    }
+
+    /// Takes the request back.
+    pub fn end_evacuation(&mut self, domain_seed: u64) {
+        self.contents.revision += 1;
+        for contents in [&mut self.contents, &mut self.written] {
+            contents.targets.retain(|entry| entry.2.key() != Key::Evacuation(domain_seed));
+        }
+    }
+
     /// Removes the announcement of a target.
     pub fn remove(&mut self, id: u64) {
         self.contents.revision += 1;
--- a/crates/relay/tests/unlisted_rows.rs
+++ b/crates/relay/tests/unlisted_rows.rs
@@ -129,7 +129,7 @@
     let update = StoreUpdate {
         revision: Revision::new(1, revision),
         settings: vec![],
-        targets: vec![listed(20, target(1))],
+        rows: vec![listed(20, target(1))],
         removed: vec![],
         valid_at_ms: 100,
     };
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -10,6 +10,8 @@
     Forwarded,
     /// Openings assigned to a target, retries included.
     Opened,
+    /// Openings forwarded to a target of an evacuated failure domain: copies for established flows.
+    SentToEvacuated,
     /// Openings retried on another target.
     Retried,
     /// Times a target became suspect on this host's own evidence.
@@ -33,6 +35,7 @@
     pub const NAMES: [(Counter, &'static str); COUNTER_COUNT] = [
         (Counter::Forwarded, "packets_forwarded"),
         (Counter::Opened, "flows_opened"),
+        (Counter::SentToEvacuated, "openings_to_evacuated"),
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -162,7 +162,12 @@
             _ => self.on_flow_packet(view, segment, now_ms),
         };
         match verdict {
-            Verdict::Forward { .. } => self.counters.count(Counter::Forwarded),
+            Verdict::Forward { target, .. } => {
+                self.counters.count(Counter::Forwarded);
+                if matches!(segment.kind, SegmentKind::Open { .. }) && is_evacuated(view, target) {
+                    self.counters.count(Counter::SentToEvacuated);
+                }
+            }
             Verdict::Reset(reason) => self.record_reset(view, segment, reason),
             Verdict::Drop(reason) => self.counters.count_drop(reason),
         }
@@ -224,14 +229,17 @@
             let is_waiting = now_ms < opening.sent_at_ms + self.config.opening_retry_ms;
             let is_counted = opening.is_counted;
             // An early copy is a duplicate or was delayed in the network: no retry.
-            if is_waiting && let Some(verdict) = last.and_then(|last| forward_to(view, last)) {
+            if is_waiting
+                && let Some(last) = last.filter(|last| !is_evacuated(view, *last))
+                && let Some(verdict) = forward_to(view, last)
+            {
                 return verdict;
             }
             tried.extend(&opening.tried);
             if let Some(last) = last {
                 self.counters.count(Counter::Retried);
                 self.remove_flow(segment);
-                if !is_counted {
+                if !is_counted && !is_waiting {
                     self.record_unanswered(last, now_ms);
                 }
             }
@@ -263,7 +271,7 @@
     }
 
     /// Forwards a copy of an opening to the target at which its flow is established by now. Another
-    /// target would take it for a new flow.
+    /// target would take it for a new flow, so this holds also if the target is evacuated meanwhile.
     fn forward_late_copy(&self, view: View<'_>, segment: &Segment, now_ms: u64) -> Option<Verdict> {
         let flow = self.flows.get(&segment.key).filter(|flow| !flow.is_opening)?;
         let is_recent = now_ms < flow.added_at_ms + self.config.opening_retention_ms;
@@ -436,6 +444,15 @@
     }
 }
 
+/// Whether the failure domain of `target` is being evacuated.
+fn is_evacuated(view: View<'_>, target: TargetId) -> bool {
+    if view.directory.evacuations().is_empty() {
+        return false;
+    }
+    let index = view.directory.find_target(target);
+    index.is_some_and(|index| view.directory.is_evacuated(view.directory.target(index).domain_seed))
+}
+
 /// Forwards to `target` unless it is gone or unknown.
 fn forward_to(view: View<'_>, target: TargetId) -> Option<Verdict> {
     let index = view.directory.find_target(target)?;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -42,6 +42,10 @@
     CatalogInForce = 1107,
     /// A store entry or a message is invalid and is not used.
     EntryRejected = 1108,
+    /// The targets of a failure domain take no new flows from this host.
+    EvacuationBegun = 1109,
+    /// The targets of a failure domain take new flows again.
+    EvacuationEnded = 1110,
     /// The host started or stopped reading the store.
     RoleChanged = 1202,
     /// A new flow was assigned to a target.
@@ -58,7 +62,7 @@
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 24] = [
+    pub const ALL: [Event; 26] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -75,6 +79,8 @@
         Event::Reloaded,
         Event::CatalogInForce,
         Event::EntryRejected,
+        Event::EvacuationBegun,
+        Event::EvacuationEnded,
         Event::MembersChanged,
         Event::RoleChanged,
         Event::SendFailed,
@@ -111,6 +117,8 @@
             Event::Reloaded => "reloaded",
             Event::CatalogInForce => "catalog_in_force",
             Event::EntryRejected => "entry_rejected",
+            Event::EvacuationBegun => "evacuation_begun",
+            Event::EvacuationEnded => "evacuation_ended",
             Event::RoleChanged => "role_changed",
             Event::FlowOpened => "flow_opened",
             Event::FlowReset => "flow_reset",
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -81,6 +81,18 @@
             .build();
     }
 
+    /// Registers the gauge `name`, whose value is read with `read_value` at each scrape.
+    pub fn observe_level(
+        &self,
+        name: &'static str,
+        read_value: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| observer.observe(read_value(), &[]))
+            .build();
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/wagtailstall/src/hosts.rs
+++ b/crates/wagtailstall/src/hosts.rs
@@ -65,6 +65,7 @@
                 "flows",
                 "waiting",
                 "view age",
+                "evacuated",
             ],
             &rows,
         ),
@@ -186,5 +187,19 @@
         format_field(&["pins", "flows"]),
         format_field(&["waiting"]),
         format_field(&["view_age_ms"]),
+        format_evacuations(&status["evacuations"]),
     ]
 }
+
+/// The evacuated failure domains, and for how many seconds the host has known of each.
+fn format_evacuations(evacuations: &Value) -> String {
+    let format = |evacuation: &Value| {
+        let domain = evacuation["domain"].as_str().unwrap_or("-");
+        let since_s = evacuation["in_force_ms"].as_u64().unwrap_or(0) / 1_000;
+        let note = if evacuation["known"] == false { ", unknown" } else { "" };
+        format!("{domain} ({since_s} s{note})")
+    };
+    let evacuations: Vec<String> =
+        evacuations.as_array().into_iter().flatten().map(format).collect();
+    if evacuations.is_empty() { "-".to_owned() } else { evacuations.join(", ") }
+}
