Place openings by priority when a service has too little room

Cause: the openings of a service that exceed what its targets bear overflowed the targets' queues, which rejected whoever came last, urgent or not. The cap on a target's flows was not used.

Change: a host holds back the openings of less urgent listeners once the requests in flight exceed two per slot; their callers' copies are the queue. The first copy is refused when there was no room for 1 s, on recent reports only. An eighth of the openings stays with the less urgent. A host that lacks most reports compares its own requests in flight with its part of the room. Targets at their cap of flows take no openings. Off unless `orders_by_priority` is set.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -300,6 +300,11 @@
         members.filter(move |member| member.state.is_alive() && member.id != me)
     }
 
+    /// The number of hosts alive, with this one.
+    pub(crate) fn host_count(&self) -> usize {
+        self.peers().count() + 1
+    }
+
     fn update_relay_peers(&mut self) {
         if self.members_version == self.membership.version() {
             return;
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -333,6 +333,8 @@
             let now_ms = clock::now_ms();
             self.detect_pause(now_ms);
             let messages = self.with_core(|core| core.tick(now_ms));
+            let host_count = self.with_core(|core| core.host_count());
+            self.shared.host_count.store(host_count, Ordering::Relaxed);
             self.publish_and_send(messages);
             self.send_loads(now_ms);
             let next = self.with_core(|core| core.relay().role());
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -264,6 +264,7 @@
             return;
         }
         self.next_notice_ms = now_ms + NOTICE_INTERVAL_MS;
+        self.dispatcher.set_host_count(self.shared.host_count.load(Ordering::Relaxed));
         if let Some(directory) = self.directory.clone() {
             let view = self.view(&directory, now_ms);
             self.dispatcher.on_tick(view, now_ms);
--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -44,6 +44,18 @@
                 field("view_age_ms", view_age_ms),
             ],
         ),
+        Decision::Shortage(shortage) => telemetry::emit(
+            Event::ServiceShortage,
+            &[
+                field("service", format_args!("{:x}", shortage.service_seed)),
+                field("state", if shortage.lasted_ms.is_some() { "ended" } else { "began" }),
+                field("priority", shortage.priority),
+                field("lasted_ms", shortage.lasted_ms.unwrap_or(0)),
+                field("waited", shortage.waited),
+                field("refused", shortage.refused),
+                field("floor_placed", shortage.floor_placed),
+            ],
+        ),
         Decision::Standing { target, standing, cause, failed_openings, stalled_flows } => {
             let (cause, reporter) = match cause {
                 StandingCause::Evidence => ("Evidence", 0),
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -172,6 +172,17 @@
     state.shared.metrics.observe("log_lines_dropped", lines_dropped);
     register_reason_counters(state, "flows_reset", Counters::resets);
     register_reason_counters(state, "packets_dropped", Counters::drops);
+    register_held_openings(state);
+}
+
+fn register_held_openings(state: &State) {
+    let status = state.shared.status.clone();
+    state.shared.metrics.observe("openings_held", move || {
+        let Ok(status) = status.lock() else { return Vec::new() };
+        let held = (0..).zip(status.counters.held());
+        held.map(|(priority, count)| (*count, vec![telemetry::Label::new("priority", priority)]))
+            .collect()
+    });
 }
 
 fn register_reason_counters(
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -4,7 +4,7 @@
     net::UdpSocket,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -81,6 +81,8 @@
     /// The bytes of rows and the number of pulls that the control thread has sent to other hosts.
     pub(crate) row_bytes_sent: Arc<AtomicU64>,
     pub(crate) pulls_sent: Arc<AtomicU64>,
+    /// The number of hosts alive, with this one, as the control thread knows it.
+    pub(crate) host_count: AtomicUsize,
     pub(crate) metrics: Metrics,
     is_exiting: AtomicBool,
 }
@@ -106,6 +108,7 @@
             status: Arc::default(),
             row_bytes_sent: Arc::default(),
             pulls_sent: Arc::default(),
+            host_count: AtomicUsize::new(1),
             metrics: Metrics::new()?,
             is_exiting: AtomicBool::new(false),
         }))
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -18,6 +18,9 @@
     Dead,
 }
 
+/// The number of priorities that are counted one by one; less urgent ones count as the last.
+const PRIORITY_COUNT: usize = 8;
+
 const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
 
 /// The counters of one host.
@@ -26,6 +29,7 @@
     counts: [u64; COUNTER_COUNT],
     resets: [u64; Reason::ALL.len()],
     drops: [u64; Reason::ALL.len()],
+    held: [u64; PRIORITY_COUNT],
 }
 
 impl Counters {
@@ -53,6 +57,17 @@
         self.drops[reason.index()] += 1;
     }
 
+    /// Counts an opening that was held back for more urgent ones.
+    pub fn count_held(&mut self, priority: u8) {
+        self.held[usize::from(priority).min(PRIORITY_COUNT - 1)] += 1;
+    }
+
+    /// How many openings of each priority were held back; those of the last one and of less urgent
+    /// ones are counted together.
+    pub fn held(&self) -> &[u64] {
+        &self.held
+    }
+
     /// The value of `counter`.
     pub fn get(&self, counter: Counter) -> u64 {
         self.counts[counter as usize]
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -66,6 +66,8 @@
     warmups: Warmups,
     speeds: TargetSpeeds,
     precedence: Precedence,
+    /// The number of hosts alive, with this one.
+    host_count: usize,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
     counters: Counters,
@@ -108,6 +110,7 @@
             warmups: Warmups::default(),
             speeds: TargetSpeeds::default(),
             precedence: Precedence::default(),
+            host_count: 1,
             opening_rates: Vec::new(),
             counters: Counters::default(),
             events: Vec::new(),
@@ -122,6 +125,11 @@
         }
     }
 
+    /// Sets the number of hosts alive, with this one.
+    pub fn set_host_count(&mut self, host_count: usize) {
+        self.host_count = host_count;
+    }
+
     /// The counters.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -192,6 +200,9 @@
         self.openings.sweep(self.config.opening_retention_ms, now_ms);
         self.unknown_flows.sweep(2 * self.config.unknown_flow_timeout_ms, now_ms);
         self.reported.expire(&self.config, now_ms);
+        for shortage in self.precedence.take_changes(now_ms) {
+            self.push_event(Event::Shortage(shortage));
+        }
         let directory = view.directory;
         let confirmed_at_ms = now_ms.saturating_sub(view.age_ms);
         let is_listed_after = |target, at_ms| {
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -3,8 +3,10 @@
 use catalog::{Listener, TargetId, TargetIndex};
 use rand::RngExt;
 
+use super::loads::OwnLoad;
 use crate::{
-    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, TargetLoad, View,
+    choose_target, precedence::Room,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
@@ -77,10 +79,11 @@
             .map(|index| view.directory.target(index).domain_seed)
             .collect();
         let silent_domains = self.silent_domains(view, now_ms);
+        let mut room = Room::new(self.flows_max(view, service_seed));
         let candidates: Vec<Candidate> = view
             .directory
             .open_targets(service_seed)
-            .map(|index| {
+            .filter_map(|index| {
                 let target = view.directory.target(index);
                 let is_near = target.domain_seed == self.config.domain_seed;
                 let penalty = match self.health.standing(target.id) {
@@ -96,11 +99,18 @@
                     }
                     Standing::Good => Penalty::None,
                 };
-                let load = self.load(target.id, target.slots) / self.speeds.relative(target.id);
-                Candidate { index, is_near, penalty, slots: target.slots, load }
+                let usage = self.usage(target.id);
+                if !room.add_flows(usage.flows()) {
+                    return None;
+                }
+                if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
+                    room.add_slots(target.slots, usage.busy(), usage.own.busy);
+                }
+                let load = usage.load(target.slots) / self.speeds.relative(target.id);
+                Some(Candidate { index, is_near, penalty, slots: target.slots, load })
             })
             .collect();
-        match self.precedence.decide(listener, &candidates, now_ms) {
+        match self.admit(listener, service_seed, &room, tried, now_ms) {
             Admission::Place => {}
             Admission::Wait => return Err(Unplaced::Waiting(Reason::Crowded)),
             Admission::Refuse => return Err(Unplaced::Refused(Reason::Crowded)),
@@ -202,13 +212,59 @@
         candidates
     }
 
-    /// The weighted flows per slot of `target`, over all hosts.
-    fn load(&self, target: TargetId, slots: u16) -> f64 {
-        let own_load = self.own_load.get(&target).copied().unwrap_or_default();
-        let reported = self.reported.get(target);
-        let flows = f64::from(own_load.flows + reported.flows);
-        let busy = f64::from(own_load.weighted_busy() + reported.busy);
-        (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
+    /// Whether an opening is placed now. One that was placed before goes on to another target.
+    fn admit(
+        &mut self,
+        listener: &Listener,
+        service_seed: u64,
+        room: &Room,
+        tried: &[TargetId],
+        now_ms: u64,
+    ) -> Admission {
+        if !self.config.orders_by_priority || (!tried.is_empty() && !room.is_capped()) {
+            return Admission::Place;
+        }
+        let evidence = self.reported.evidence(self.host_count, now_ms);
+        let admission = self.precedence.decide(listener, service_seed, room, evidence, now_ms);
+        if admission != Admission::Place {
+            self.counters.count_held(listener.priority);
+        }
+        admission
+    }
+
+    /// The number of flows that each target of a service holds.
+    fn flows_max(&self, view: View<'_>, service_seed: u64) -> u32 {
+        let service = view.directory.find_service(service_seed);
+        let service = service.filter(|_| self.config.orders_by_priority);
+        service.map_or(u32::MAX, |service| service.flows_max)
+    }
+
+    fn usage(&self, target: TargetId) -> Usage {
+        let own = self.own_load.get(&target).copied().unwrap_or_default();
+        Usage { own, reported: self.reported.get(target) }
+    }
+}
+
+/// The use of a target by all hosts.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    own: OwnLoad,
+    reported: TargetLoad,
+}
+
+impl Usage {
+    fn flows(&self) -> u32 {
+        self.own.flows.saturating_add(self.reported.flows)
+    }
+
+    fn busy(&self) -> u32 {
+        self.own.weighted_busy().saturating_add(self.reported.busy)
+    }
+
+    /// The weighted flows per slot.
+    fn load(&self, slots: u16) -> f64 {
+        let flows = f64::from(self.flows());
+        (flows + BUSY_WEIGHT * f64::from(self.busy())) / f64::from(slots.max(1))
     }
 }
 
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -5,7 +5,7 @@
 use catalog::{RequestKind, Revision, TargetId};
 use routing::HostId;
 
-use crate::{FlowKey, Standing};
+use crate::{FlowKey, Shortage, Standing};
 
 /// Why a flow was reset or a packet dropped. The discriminants are result codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,6 +108,8 @@
         /// The age of the view, in milliseconds.
         view_age_ms: u64,
     },
+    /// A service began to have too little room at this host, or has room again.
+    Shortage(Shortage),
     /// A target's standing changed.
     Standing {
         /// The target.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -33,8 +33,8 @@
     dispatcher::{Dispatcher, LoadUpdate, View},
     event::{Event, FlowReport, LatencySample, Reason, StandingCause},
     health::{CheckOutcome, DueCheck, Health, Standing, Verdict as CheckVerdict, judge_check},
-    load::{HostLoad, ReportedLoads, TargetLoad},
-    precedence::Admission,
+    load::{Evidence, HostLoad, ReportedLoads, TargetLoad},
+    precedence::{Admission, Shortage},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
     speed::AnswerStats,
 };
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -31,9 +31,25 @@
     pub targets: Vec<TargetLoad>,
 }
 
+/// The age of the reports that a decision is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// They show the present load.
+    Recent,
+    /// The load may have changed since.
+    Old,
+    /// Most hosts have not reported.
+    Missing {
+        /// The number of hosts alive, with this one.
+        host_count: usize,
+    },
+}
+
 #[derive(Debug)]
 struct Report {
     received_at_ms: u64,
+    /// The requests in flight over all targets.
+    busy: u64,
     load: HostLoad,
 }
 
@@ -54,7 +70,8 @@
     /// Stores a report in place of the host's previous one.
     pub fn on_report(&mut self, load: HostLoad, now_ms: u64) {
         let position = self.reports.binary_search_by_key(&load.host, |report| report.load.host);
-        let report = Report { received_at_ms: now_ms, load };
+        let busy = load.targets.iter().map(|target| u64::from(target.busy)).sum();
+        let report = Report { received_at_ms: now_ms, busy, load };
         match position {
             Ok(position) => {
                 let previous = std::mem::replace(&mut self.reports[position], report);
@@ -102,6 +119,22 @@
             .sum()
     }
 
+    /// Whether the reports show the present load of `host_count` hosts: whether most have reported,
+    /// and at least half of the requests in flight that hosts of the own failure domain report were
+    /// counted recently.
+    pub fn evidence(&self, host_count: usize, now_ms: u64) -> Evidence {
+        if 2 * self.reports.len() + 1 < host_count {
+            return Evidence::Missing { host_count };
+        }
+        let near = self.reports.iter().filter(|report| report.load.is_near);
+        let (recent, total) = near.fold((0, 0), |(recent, total), report| {
+            let age_ms = now_ms.saturating_sub(report.received_at_ms);
+            let is_recent = age_ms <= MAX_COUNTED_AGE_MS;
+            (recent + if is_recent { report.busy } else { 0 }, total + report.busy)
+        });
+        if 2 * recent >= total { Evidence::Recent } else { Evidence::Old }
+    }
+
     /// Whether enough hosts of other failure domains have reported for loads to be compared across
     /// domains: at least as many as of the own one.
     pub fn has_far_loads(&self) -> bool {
--- a/crates/tagged/tests/support/mod.rs
+++ b/crates/tagged/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddrV4;
 
 use catalog::{
-    Catalog, Directory, FlowTag, Limits, Listener, Record, RequestKind, Revision, Row, Share,
-    Stage, Target, TargetId,
+    Catalog, Directory, FlowTag, Limits, Listener, Record, RequestKind, Revision, Row, Service,
+    Share, Stage, Target, TargetId,
 };
 use tagged::{CheckVerdict, Config, Dispatcher, FlowKey, Segment, SegmentKind, Verdict, View};
 
@@ -35,6 +35,29 @@
         .collect()
 }
 
+/// The rows of [`Host::with_priorities`]. Listeners aim for 400 ms; targets have two slots.
+pub fn rows_with_priorities(priorities: &[u8], target_count: u64, flows_max: u32) -> Vec<Row> {
+    let written = |record| Row::written(Revision::new(1, 1), 1, record);
+    let mut rows = rows(&[]);
+    let Record::Listener(first) = rows.remove(1).record else { panic!("no listener") };
+    rows.extend((443..).zip(priorities).map(|(port, priority)| {
+        let address = SocketAddrV4::new(*first.address.ip(), port);
+        let listener = Listener { address, priority: *priority, aim_ms: 400, ..first.clone() };
+        written(Record::Listener(listener))
+    }));
+    rows.extend(
+        (1..=target_count)
+            .map(|id| written(Record::Target(Target { slots: 2, ..target(id, NEAR) }))),
+    );
+    rows.push(written(Record::Service(Service {
+        seed: SERVICE,
+        health_path: "/".into(),
+        flows_max,
+        warmup_openings_per_ks: None,
+    })));
+    rows
+}
+
 /// A ready target.
 pub fn target(id: u64, domain_seed: u64) -> Target {
     Target {
@@ -94,6 +117,15 @@
         }
     }
 
+    /// A host that orders openings by priority. Its listeners, on ports from 443, have these
+    /// priorities, and each of its `target_count` targets holds `flows_max` flows.
+    pub fn with_priorities(priorities: &[u8], target_count: u64, flows_max: u32) -> Host {
+        let config = Config { domain_seed: NEAR, orders_by_priority: true, ..Config::default() };
+        let mut host = Host { dispatcher: Dispatcher::new(config, 1), ..Host::new(&[]) };
+        host.set_rows(rows_with_priorities(priorities, target_count, flows_max));
+        host
+    }
+
     /// A host with an open flow to its only target, which has just failed a check. Returns the
     /// target's tag too.
     pub fn after_failed_check() -> (Host, FlowTag) {
@@ -143,6 +175,12 @@
     Segment { key: key(caller), kind, tag: None, sequence: 5, acknowledged: copy, data_bytes: 0 }
 }
 
+/// `segment` on its way to the listener at `port`.
+pub fn to_port(port: u16, mut segment: Segment) -> Segment {
+    segment.key.listener.set_port(port);
+    segment
+}
+
 /// A data packet of `caller`. `sequence` increases with each request, `acknowledged` with each
 /// answer.
 pub fn data(caller: u16, tag: FlowTag, sequence: u32, acknowledged: u32) -> Segment {
