--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -3,10 +3,9 @@
 use catalog::{Listener, TargetId, TargetIndex};
 use rand::RngExt;
 
-use super::loads::OwnLoad;
 use crate::{
-    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, TargetLoad, View,
-    choose_target, precedence::Room,
+    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+    precedence::Room,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
@@ -80,36 +79,33 @@
             .collect();
         let silent_domains = self.silent_domains(view, now_ms);
         let mut room = Room::new(self.flows_max(view, service_seed));
-        let candidates: Vec<Candidate> = view
-            .directory
-            .open_targets(service_seed)
-            .filter_map(|index| {
-                let target = view.directory.target(index);
-                let is_near = target.domain_seed == self.config.domain_seed;
-                let penalty = match self.health.standing(target.id) {
-                    _ if tried.contains(&target.id) => Penalty::Tried,
-                    Standing::Dead => Penalty::Dead,
-                    Standing::Suspect => Penalty::Suspect,
-                    Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
-                    Standing::Good if silent_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainSilent
-                    }
-                    Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainTried
-                    }
-                    Standing::Good => Penalty::None,
-                };
-                let usage = self.usage(target.id);
-                if !room.add_flows(usage.flows()) {
-                    return None;
+        let mut candidates = Vec::new();
+        for index in view.directory.open_targets(service_seed) {
+            let target = view.directory.target(index);
+            let is_near = target.domain_seed == self.config.domain_seed;
+            let penalty = match self.health.standing(target.id) {
+                _ if tried.contains(&target.id) => Penalty::Tried,
+                Standing::Dead => Penalty::Dead,
+                Standing::Suspect => Penalty::Suspect,
+                Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
+                Standing::Good if silent_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainSilent
                 }
-                if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
-                    room.add_slots(target.slots, usage.busy(), usage.own.busy);
+                Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainTried
                 }
-                let load = usage.load(target.slots) / self.speeds.relative(target.id);
-                Some(Candidate { index, is_near, penalty, slots: target.slots, load })
-            })
-            .collect();
+                Standing::Good => Penalty::None,
+            };
+            let usage = self.usage(target.id);
+            if !room.add_flows(usage.flows) {
+                continue;
+            }
+            if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
+                room.add_slots(target.slots, usage.busy, usage.own_busy);
+            }
+            let load = usage.load(target.slots) / self.speeds.relative(target.id);
+            candidates.push(Candidate { index, is_near, penalty, slots: target.slots, load });
+        }
         match self.admit(listener, service_seed, &room, tried, now_ms) {
             Admission::Place => {}
             Admission::Wait => return Err(Unplaced::Waiting(Reason::Crowded)),
@@ -241,30 +237,30 @@
 
     fn usage(&self, target: TargetId) -> Usage {
         let own = self.own_load.get(&target).copied().unwrap_or_default();
-        Usage { own, reported: self.reported.get(target) }
+        let reported = self.reported.get(target);
+        Usage {
+            flows: own.flows.saturating_add(reported.flows),
+            busy: own.weighted_busy().saturating_add(reported.busy),
+            own_busy: own.busy,
+        }
     }
 }
 
 /// The use of a target by all hosts.
 #[derive(Debug, Clone, Copy)]
 struct Usage {
-    own: OwnLoad,
-    reported: TargetLoad,
+    flows: u32,
+    /// The requests in flight, with extra weight for overdue ones.
+    busy: u32,
+    /// The requests in flight that this host sees.
+    own_busy: u32,
 }
 
 impl Usage {
-    fn flows(&self) -> u32 {
-        self.own.flows.saturating_add(self.reported.flows)
-    }
-
-    fn busy(&self) -> u32 {
-        self.own.weighted_busy().saturating_add(self.reported.busy)
-    }
-
     /// The weighted flows per slot.
     fn load(&self, slots: u16) -> f64 {
-        let flows = f64::from(self.flows());
-        (flows + BUSY_WEIGHT * f64::from(self.busy())) / f64::from(slots.max(1))
+        let weighted = f64::from(self.flows) + BUSY_WEIGHT * f64::from(self.busy);
+        weighted / f64::from(slots.max(1))
     }
 }
 
