--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -4,7 +4,7 @@
     net::UdpSocket,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -83,6 +83,8 @@
     pub(crate) pulls_sent: Arc<AtomicU64>,
     /// The number of writes to the store that cannot be used.
     pub(crate) entries_rejected: Arc<AtomicU64>,
+    /// The number of hosts alive, with this one, as the control thread knows it.
+    pub(crate) host_count: AtomicUsize,
     pub(crate) metrics: Metrics,
     is_exiting: AtomicBool,
 }
@@ -109,6 +111,7 @@
             row_bytes_sent: Arc::default(),
             pulls_sent: Arc::default(),
             entries_rejected: Arc::default(),
+            host_count: AtomicUsize::new(1),
             metrics: Metrics::new()?,
             is_exiting: AtomicBool::new(false),
         }))
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+    precedence::Room,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
@@ -77,30 +78,35 @@
             .map(|index| view.directory.target(index).domain_seed)
             .collect();
         let silent_domains = self.silent_domains(view, now_ms);
-        let candidates: Vec<Candidate> = view
-            .directory
-            .open_targets(service_seed)
-            .map(|index| {
-                let target = view.directory.target(index);
-                let is_near = target.domain_seed == self.config.domain_seed;
-                let penalty = match self.health.standing(target.id) {
-                    _ if tried.contains(&target.id) => Penalty::Tried,
-                    Standing::Dead => Penalty::Dead,
-                    Standing::Suspect => Penalty::Suspect,
-                    Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
-                    Standing::Good if silent_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainSilent
-                    }
-                    Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainTried
-                    }
-                    Standing::Good => Penalty::None,
-                };
-                let load = self.load(target.id, target.slots) / self.speeds.relative(target.id);
-                Candidate { index, is_near, penalty, slots: target.slots, load }
-            })
-            .collect();
-        match self.precedence.decide(listener, &candidates, now_ms) {
+        let mut room = Room::new(self.flows_max(view, service_seed));
+        let mut candidates = Vec::new();
+        for index in view.directory.open_targets(service_seed) {
+            let target = view.directory.target(index);
+            let is_near = target.domain_seed == self.config.domain_seed;
+            let penalty = match self.health.standing(target.id) {
+                _ if tried.contains(&target.id) => Penalty::Tried,
+                Standing::Dead => Penalty::Dead,
+                Standing::Suspect => Penalty::Suspect,
+                Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
+                Standing::Good if silent_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainSilent
+                }
+                Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainTried
+                }
+                Standing::Good => Penalty::None,
+            };
+            let usage = self.usage(target.id);
+            if !room.add_flows(usage.flows) {
+                continue;
+            }
+            if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
+                room.add_slots(target.slots, usage.busy, usage.own_busy);
+            }
+            let load = usage.load(target.slots) / self.speeds.relative(target.id);
+            candidates.push(Candidate { index, is_near, penalty, slots: target.slots, load });
+        }
+        match self.admit(listener, service_seed, &room, tried, now_ms) {
             Admission::Place => {}
             Admission::Wait => return Err(Unplaced::Waiting(Reason::Crowded)),
             Admission::Refuse => return Err(Unplaced::Refused(Reason::Crowded)),
@@ -202,13 +208,59 @@
         candidates
     }
 
-    /// The weighted flows per slot of `target`, over all hosts.
-    fn load(&self, target: TargetId, slots: u16) -> f64 {
-        let own_load = self.own_load.get(&target).copied().unwrap_or_default();
+    /// Whether an opening is placed now. One that was placed before goes on to another target.
+    fn admit(
+        &mut self,
+        listener: &Listener,
+        service_seed: u64,
+        room: &Room,
+        tried: &[TargetId],
+        now_ms: u64,
+    ) -> Admission {
+        if !self.config.orders_by_priority || (!tried.is_empty() && !room.is_capped()) {
+            return Admission::Place;
+        }
+        let evidence = self.reported.evidence(self.host_count, now_ms);
+        let admission = self.precedence.decide(listener, service_seed, room, evidence, now_ms);
+        if admission != Admission::Place {
+            self.counters.count_held(listener.priority);
+        }
+        admission
+    }
+
+    /// The number of flows that each target of a service holds.
+    fn flows_max(&self, view: View<'_>, service_seed: u64) -> u32 {
+        let service = view.directory.find_service(service_seed);
+        let service = service.filter(|_| self.config.orders_by_priority);
+        service.map_or(u32::MAX, |service| service.flows_max)
+    }
+
+    fn usage(&self, target: TargetId) -> Usage {
+        let own = self.own_load.get(&target).copied().unwrap_or_default();
         let reported = self.reported.get(target);
-        let flows = f64::from(own_load.flows + reported.flows);
-        let busy = f64::from(own_load.weighted_busy() + reported.busy);
-        (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
+        Usage {
+            flows: own.flows.saturating_add(reported.flows),
+            busy: own.weighted_busy().saturating_add(reported.busy),
+            own_busy: own.busy,
+        }
+    }
+}
+
+/// The use of a target by all hosts.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    flows: u32,
+    /// The requests in flight, with extra weight for overdue ones.
+    busy: u32,
+    /// The requests in flight that this host sees.
+    own_busy: u32,
+}
+
+impl Usage {
+    /// The weighted flows per slot.
+    fn load(&self, slots: u16) -> f64 {
+        let weighted = f64::from(self.flows) + BUSY_WEIGHT * f64::from(self.busy);
+        weighted / f64::from(slots.max(1))
     }
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -58,11 +58,13 @@
     TargetChecked = 1404,
     /// The log of decisions is incomplete: some were not logged.
     DecisionsLeftOut = 1405,
+    /// A service began to have too little room, or has room again.
+    ServiceShortage = 1406,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 26] = [
+    pub const ALL: [Event; 27] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -89,6 +91,7 @@
         Event::TargetStanding,
         Event::TargetChecked,
         Event::DecisionsLeftOut,
+        Event::ServiceShortage,
     ];
 
     /// The stable number of this event.
@@ -125,6 +128,7 @@
             Event::TargetStanding => "target_standing",
             Event::TargetChecked => "target_checked",
             Event::DecisionsLeftOut => "decisions_left_out",
+            Event::ServiceShortage => "service_shortage",
         }
     }
 
