Weigh targets by how they answer

Cause: targets were chosen by flows for each slot alone. A target at half the speed of the others got the same share, and one that answers errors within a round trip looked emptier than its peers.

Change: hosts count the answers, the harmonic mean of the times and the failures (answers within a round trip, requests overdue by twice the aim) of each target, and exchange them in the load reports. Once a second each host compares every target with the median of its service over all hosts. The load of a target is divided by its relative speed; targets that fail many requests are set aside for a while, at most a fifth of a service. Only with `placement.weighs_answers`.

--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -65,5 +65,14 @@
                 ],
             );
         }
+        Decision::SetAside { target, is_set_aside, answers, failures } => telemetry::emit(
+            Event::TargetSetAside,
+            &[
+                field("target", format_args!("{:x}", target.0)),
+                field("set_aside", is_set_aside),
+                field("answers", answers),
+                field("failures", failures),
+            ],
+        ),
     }
 }
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -16,9 +16,11 @@
     Suspected,
     /// Times a target was declared dead.
     Dead,
+    /// Times a target was set aside because of how it answers.
+    SetAside,
 }
 
-const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+const COUNTER_COUNT: usize = Counter::SetAside as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -36,6 +38,7 @@
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
+        (Counter::SetAside, "targets_set_aside"),
     ];
 
     /// Increments `counter`.
--- a/crates/tagged/src/dispatcher/loads.rs
+++ b/crates/tagged/src/dispatcher/loads.rs
@@ -3,6 +3,7 @@
 use catalog::TargetId;
 use hashbrown::HashMap;
 
+use super::SWEEP_INTERVAL_MS;
 use crate::{
     AnswerStats, Dispatcher, Segment, SegmentKind, Standing, TargetLoad, View, flows::Flow,
 };
@@ -75,6 +76,11 @@
             if in_flight_ms > OVERDUE_AIM_FACTOR * u64::from(listener.aim_ms) {
                 self.own_load.entry(target).or_default().overdue += 1;
                 self.has_load_changes = true;
+                // Each request counts in the first sweep that finds it overdue.
+                let overdue_ms = in_flight_ms - OVERDUE_AIM_FACTOR * u64::from(listener.aim_ms);
+                if self.config.weighs_answers && overdue_ms <= SWEEP_INTERVAL_MS {
+                    self.speeds.samples_mut().add_unanswered(target);
+                }
             }
         }
     }
@@ -108,6 +114,16 @@
             is_dead: true,
             answers: AnswerStats::default(),
         }));
+        let answered_without_flows = self.speeds.targets().filter(|target| {
+            !self.own_load.contains_key(target) && self.health.standing(*target) != Standing::Dead
+        });
+        loads.extend(answered_without_flows.map(|target| TargetLoad {
+            target,
+            flows: 0,
+            busy: 0,
+            is_dead: false,
+            answers: self.speeds.own_stats(target),
+        }));
         loads.sort_unstable_by_key(|load| load.target);
         loads
     }
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 //! Decides what to do with each packet of a caller.
 
+mod answers;
 mod loads;
 mod placement;
 mod targets;
@@ -90,6 +91,7 @@
     id: TargetId,
     domain_seed: u64,
     started_at_ms: u64,
+    slots: u16,
     is_listed: bool,
 }
 
@@ -189,6 +191,7 @@
         });
         self.has_load_changes |= has_expired;
         self.count_overdue(view, now_ms);
+        self.judge_answers(view, now_ms);
         self.openings.sweep(self.config.opening_retention_ms, now_ms);
         self.unknown_flows.sweep(2 * self.config.unknown_flow_timeout_ms, now_ms);
         self.reported.expire(&self.config, now_ms);
@@ -384,6 +387,7 @@
         self.flows.get(&segment.key).into_iter().for_each(|flow| own_load.add(flow));
         if signal == FlowSignal::Progress {
             self.record_latency(previous.as_ref(), listener, now_ms);
+            self.record_answer(previous.as_ref(), listener, now_ms);
         }
         let (has_changed, cause) = match signal {
             FlowSignal::Progress => {
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -39,6 +39,7 @@
                 id: target.id,
                 domain_seed: target.domain_seed,
                 started_at_ms: target.started_at_ms,
+                slots: target.slots,
                 is_listed: directory.presence(index) == Presence::Listed,
             }
         });
@@ -47,6 +48,7 @@
             let found = self.known.binary_search_by_key(&earlier.id, |target| target.id);
             if found.is_ok_and(|index| self.known[index].started_at_ms != earlier.started_at_ms) {
                 self.health.forget(earlier.id, now_ms);
+                self.speeds.forget(earlier.id, now_ms);
             }
         }
     }
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -121,6 +121,17 @@
         /// The stalled flows counted against it.
         stalled_flows: u32,
     },
+    /// A target was set aside because of how it answers, or was taken back.
+    SetAside {
+        /// The target.
+        target: TargetId,
+        /// Whether it gets no new flows from now on.
+        is_set_aside: bool,
+        /// The requests that it answered recently, over all hosts.
+        answers: u64,
+        /// The requests that it answered much too fast or not in time, over all hosts.
+        failures: u64,
+    },
 }
 
 /// The time from a request to the first acknowledgement of its answer, as seen by this host.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -36,5 +36,5 @@
     load::{HostLoad, ReportedLoads, TargetLoad},
     precedence::Admission,
     segment::{FlowKey, Segment, SegmentKind, Verdict},
-    speed::AnswerStats,
+    speed::{AnswerStats, SpeedSummary},
 };
--- a/crates/tagged/src/load.rs
+++ b/crates/tagged/src/load.rs
@@ -94,6 +94,13 @@
             .map_or(empty, |position| self.totals[position])
     }
 
+    /// How the targets answered each of the other hosts.
+    pub(crate) fn answers(&self) -> impl Iterator<Item = (TargetId, AnswerStats)> {
+        let loads = self.reports.iter().flat_map(|report| &report.load.targets);
+        let answers = loads.map(|load| (load.target, load.answers));
+        answers.filter(|(_, answers)| *answers != AnswerStats::default())
+    }
+
     /// The time since the last report, summed over the hosts of the own failure domain, in
     /// milliseconds. The flows that they opened during this time are not counted yet.
     pub fn unreported_ms(&self, now_ms: u64) -> u64 {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,11 +54,13 @@
     TargetChecked = 1404,
     /// The log of decisions is incomplete: some were not logged.
     DecisionsLeftOut = 1405,
+    /// A target was set aside because of how it answers, or was taken back.
+    TargetSetAside = 1407,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 24] = [
+    pub const ALL: [Event; 25] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -83,6 +85,7 @@
         Event::TargetStanding,
         Event::TargetChecked,
         Event::DecisionsLeftOut,
+        Event::TargetSetAside,
     ];
 
     /// The stable number of this event.
@@ -117,6 +120,7 @@
             Event::TargetStanding => "target_standing",
             Event::TargetChecked => "target_checked",
             Event::DecisionsLeftOut => "decisions_left_out",
+            Event::TargetSetAside => "target_set_aside",
         }
     }
 
