Time only answers that are acknowledged by themselves, and publish how targets stand

Cause: a caller acknowledges a short answer on a long flow only with its next request, so the pause counted as work, and such answers hid the failures of a target among good ones.

Change: acknowledgements that come with data are left out; the share of failures from which a target is set aside is 8 %. /status shows targets_set_aside and slowest_relative_speed.

--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -287,6 +287,7 @@
             let status = Status {
                 counters: *self.dispatcher.counters(),
                 flows: self.dispatcher.flow_count(),
+                speeds: self.dispatcher.speed_summary(),
             };
             if let Ok(mut shared) = self.shared.status.lock() {
                 *shared = status;
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -100,6 +100,8 @@
             "view_age_ms": relay.confirmed_at_ms().map(|at_ms| now_ms.saturating_sub(at_ms)),
             "rows": relay.catalog().rows().len(),
             "flows": traffic.flows,
+            "targets_set_aside": traffic.speeds.set_aside,
+            "slowest_relative_speed": traffic.speeds.slowest_relative,
             "counters": counters,
             "members": members,
         })
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,10 @@
 use routing::HostId;
 use settings::name_seed;
 use smol::channel::{Receiver, Sender, bounded};
-use tagged::{CheckVerdict, Counters, DueCheck, Event, FlowKey, FlowReport, HostLoad, LoadUpdate};
+use tagged::{
+    CheckVerdict, Counters, DueCheck, Event, FlowKey, FlowReport, HostLoad, LoadUpdate,
+    SpeedSummary,
+};
 use telemetry::Metrics;
 use wire::PeerKey;
 
@@ -50,11 +53,12 @@
     Explain(FlowKey, Sender<Option<FlowReport>>),
 }
 
-/// The counters and flow count that the data thread publishes.
+/// What the data thread publishes.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Status {
     pub(crate) counters: Counters,
     pub(crate) flows: usize,
+    pub(crate) speeds: SpeedSummary,
 }
 
 /// The state shared by the two threads.
--- a/crates/tagged/src/dispatcher/answers.rs
+++ b/crates/tagged/src/dispatcher/answers.rs
@@ -3,7 +3,7 @@
 use catalog::{Listener, TargetId};
 
 use super::View;
-use crate::{Counter, Dispatcher, Event, SpeedSummary, flows::Flow};
+use crate::{Counter, Dispatcher, Event, Segment, SpeedSummary, flows::Flow};
 
 impl Dispatcher {
     /// How many targets are set aside because of how they answer, and how slow the slowest is.
@@ -25,14 +25,20 @@
     pub(super) fn record_answer(
         &mut self,
         previous: Option<&Flow>,
+        segment: &Segment,
         listener: &Listener,
         now_ms: u64,
     ) {
         let Some(flow) = previous.filter(|_| self.config.weighs_answers) else { return };
+        // A caller acknowledges a short answer only with its next request, after a pause.
+        let is_next_request = segment.data_bytes > 0;
         if flow.is_opening {
             let round_trip_ms = now_ms.saturating_sub(flow.added_at_ms);
             self.speeds.samples_mut().add_round_trip(listener, round_trip_ms);
-        } else if flow.is_busy && self.warmups.share_left(flow.target, now_ms).is_none() {
+        } else if flow.is_busy
+            && !is_next_request
+            && self.warmups.share_left(flow.target, now_ms).is_none()
+        {
             let answer_ms = now_ms.saturating_sub(flow.busy_since_ms);
             let queue_factor = self.queue_factor(flow.target);
             self.speeds.samples_mut().add_answer(listener, flow.target, answer_ms, queue_factor);
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -387,7 +387,7 @@
         self.flows.get(&segment.key).into_iter().for_each(|flow| own_load.add(flow));
         if signal == FlowSignal::Progress {
             self.record_latency(previous.as_ref(), listener, now_ms);
-            self.record_answer(previous.as_ref(), listener, now_ms);
+            self.record_answer(previous.as_ref(), segment, listener, now_ms);
         }
         let (has_changed, cause) = match signal {
             FlowSignal::Progress => {
--- a/crates/tagged/src/speed/judge.rs
+++ b/crates/tagged/src/speed/judge.rs
@@ -32,8 +32,9 @@
 /// How many failures it takes to set a target aside.
 const MIN_FAILURES: u64 = 3;
 
-/// Which share of its requests a target must fail to be set aside.
-const MIN_FAILURE_SHARE: f64 = 0.2;
+/// Which share of its requests a target must fail to be set aside. Hosts see only a part of the
+/// failures: short answers on long flows are acknowledged late.
+const MIN_FAILURE_SHARE: f64 = 0.08;
 
 /// How many times the median share of its service a target must fail to be set aside.
 const MIN_FAILURE_RATIO: f64 = 3.0;
--- a/crates/tagged/src/speed/mod.rs
+++ b/crates/tagged/src/speed/mod.rs
@@ -34,11 +34,11 @@
 }
 
 /// How the targets stand by their answers.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct SpeedSummary {
     /// How many targets are set aside.
     pub set_aside: usize,
-    /// The lowest relative speed of a target.
+    /// The lowest relative speed of a target; 1 if all are even.
     pub slowest_relative: f64,
 }
 
