Do not set slow targets aside for overdue requests

Change: a target whose mean time is above the dead zone must fail half of its requests to be set aside.

--- a/crates/tagged/src/speed/judge.rs
+++ b/crates/tagged/src/speed/judge.rs
@@ -36,6 +36,9 @@
 /// failures: short answers on long flows are acknowledged late.
 const MIN_FAILURE_SHARE: f64 = 0.08;
 
+/// The share for a target that is slow, since some of its requests are overdue for that reason.
+const MIN_SLOW_FAILURE_SHARE: f64 = 0.5;
+
 /// How many times the median share of its service a target must fail to be set aside.
 const MIN_FAILURE_RATIO: f64 = 3.0;
 
@@ -224,13 +227,13 @@
     now_ms: u64,
     changes: &mut Vec<Change>,
 ) {
-    let limit = failure_limit(service);
+    let limit = FailureLimit::new(service);
     for Judged { target, sums, .. } in service {
         let Some(verdict) = verdicts.get_mut(target) else { continue };
         if !verdict.is_set_aside() || now_ms < verdict.aside_until_ms {
             continue;
         }
-        if is_failing(sums, limit) {
+        if limit.is_reached(sums) {
             verdict.set_aside(now_ms);
             continue;
         }
@@ -249,10 +252,10 @@
 ) {
     let is_aside = |target| verdicts.get(&target).is_some_and(Verdict::is_set_aside);
     let aside = service.iter().filter(|judged| is_aside(judged.target)).count();
-    let limit = failure_limit(service);
+    let limit = FailureLimit::new(service);
     let mut failing: Vec<(TargetId, Sums)> = service
         .iter()
-        .filter(|judged| is_failing(&judged.sums, limit) && !is_aside(judged.target))
+        .filter(|judged| limit.is_reached(&judged.sums) && !is_aside(judged.target))
         .filter(|judged| {
             let verdict = verdicts.get(&judged.target);
             verdict.is_none_or(|verdict| now_ms >= verdict.judged_from_ms)
@@ -274,16 +277,31 @@
     }
 }
 
-/// The share of failed requests from which a target of `service` counts as failing. If all hosts or
-/// links fail requests, no target is to blame.
-fn failure_limit(service: &[Judged]) -> f64 {
-    let shares = service.iter().map(|judged| judged.sums.failure_share()).collect();
-    let middle = median(shares).unwrap_or(0.0);
-    (MIN_FAILURE_RATIO * middle).clamp(MIN_FAILURE_SHARE, 1.0)
+/// From when the targets of a service count as failing.
+#[derive(Debug, Clone, Copy)]
+struct FailureLimit {
+    share: f64,
+    /// The logarithm of the mean time from which a target is slow.
+    slow_log: Option<f64>,
 }
 
-fn is_failing(sums: &Sums, limit: f64) -> bool {
-    sums.failures >= MIN_FAILURES && sums.failure_share() >= limit
+impl FailureLimit {
+    /// If all hosts or links fail requests, no target is to blame.
+    fn new(service: &[Judged]) -> FailureLimit {
+        let shares = service.iter().map(|judged| judged.sums.failure_share()).collect();
+        let middle_share = median(shares).unwrap_or(0.0);
+        let mean_logs = service.iter().filter_map(|judged| judged.sums.mean_log()).collect();
+        FailureLimit {
+            share: (MIN_FAILURE_RATIO * middle_share).clamp(MIN_FAILURE_SHARE, 1.0),
+            slow_log: median(mean_logs).map(|middle_log| middle_log + DEAD_ZONE.ln()),
+        }
+    }
+
+    fn is_reached(&self, sums: &Sums) -> bool {
+        let is_slow = self.slow_log.zip(sums.mean_log()).is_some_and(|(slow, mean)| mean > slow);
+        let share = if is_slow { self.share.max(MIN_SLOW_FAILURE_SHARE) } else { self.share };
+        sums.failures >= MIN_FAILURES && sums.failure_share() >= share
+    }
 }
 
 /// The lower of the two middle values if their number is even.
