--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -18,12 +18,14 @@
     Suspected,
     /// Times a target was declared dead.
     Dead,
+    /// Times a target was set aside because of how it answers.
+    SetAside,
 }
 
 /// The number of priorities that are counted one by one; less urgent ones count as the last.
 const PRIORITY_COUNT: usize = 8;
 
-const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+const COUNTER_COUNT: usize = Counter::SetAside as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -43,6 +45,7 @@
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
+        (Counter::SetAside, "targets_set_aside"),
     ];
 
     /// Increments `counter`.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -36,5 +36,5 @@
     load::{Evidence, HostLoad, ReportedLoads, TargetLoad},
     precedence::{Admission, Shortage},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
-    speed::AnswerStats,
+    speed::{AnswerStats, SpeedSummary},
 };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -60,11 +60,13 @@
     DecisionsLeftOut = 1405,
     /// A service began to have too little room, or has room again.
     ServiceShortage = 1406,
+    /// A target was set aside because of how it answers, or was taken back.
+    TargetSetAside = 1407,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 27] = [
+    pub const ALL: [Event; 28] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -92,6 +94,7 @@
         Event::TargetChecked,
         Event::DecisionsLeftOut,
         Event::ServiceShortage,
+        Event::TargetSetAside,
     ];
 
     /// The stable number of this event.
@@ -129,6 +132,7 @@
             Event::TargetChecked => "target_checked",
             Event::DecisionsLeftOut => "decisions_left_out",
             Event::ServiceShortage => "service_shortage",
+            Event::TargetSetAside => "target_set_aside",
         }
     }
 
