Leave the failure domain when waiting costs more than leaving

Flows left their failure domain at a fixed excess of load, which knows neither how long callers wait nor what the way and its bytes cost. With `placement.domain_exit`, each host estimates the wait of a request at its own domain's targets and elsewhere, and adjusts a share of new flows that leaves. Without the setting choices are the same (test same_choices).

--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -1,6 +1,6 @@
 //! Logs decisions about flows.
 
-use tagged::{Event as Decision, StandingCause};
+use tagged::{Event as Decision, ExitChange, StandingCause};
 use telemetry::{Event, field};
 
 /// Logs `events`, and that `dropped` more were discarded before they could be logged.
@@ -65,5 +65,20 @@
                 ],
             );
         }
+        Decision::DomainExit { listener, change } => {
+            let (event, estimate) = match change {
+                ExitChange::Began(estimate) => (Event::DomainExitBegan, estimate),
+                ExitChange::Ended(estimate) => (Event::DomainExitEnded, estimate),
+            };
+            telemetry::emit(
+                event,
+                &[
+                    field("listener", listener),
+                    field("near_wait_us", estimate.near_wait_us),
+                    field("far_wait_us", estimate.far_wait_us),
+                    field("cost_us", estimate.cost_us),
+                ],
+            );
+        }
     }
 }
--- a/crates/edge/src/settings_file.rs
+++ b/crates/edge/src/settings_file.rs
@@ -23,7 +23,8 @@
 pub struct DomainExitSettings {
     /// The additional time of one round trip, in microseconds.
     pub round_trip_us: u32,
-    /// How long a caller may rather wait than have 1,000 bytes cross, in microseconds.
+    /// How long a caller may rather wait than have 1,000 bytes cross, in microseconds. 0: bytes cost
+    /// nothing; the maximum: flows leave only if no own target can take them.
     pub price_us_per_kb: u32,
 }
 
--- a/crates/tagged/src/choice.rs
+++ b/crates/tagged/src/choice.rs
@@ -56,6 +56,23 @@
     pub load: f64,
 }
 
+/// When flows leave the failure domain although targets of the own one could take them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ExitRule {
+    /// When the mean load of the own domain's targets exceeds that of all by a fixed amount.
+    FixedExcess,
+    /// This flow stays; of the others, `far_share` leaves.
+    Stay {
+        /// The share of flows that leaves.
+        far_share: f64,
+    },
+    /// This flow leaves, as does `far_share` of the others.
+    Leave {
+        /// The share of flows that leaves.
+        far_share: f64,
+    },
+}
+
 /// The load estimates and random numbers used by [`choose_target`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ChoiceParams {
@@ -69,6 +86,8 @@
     pub random_fraction: f64,
     /// A random seed that orders targets with equal load.
     pub tie_seed: u64,
+    /// When flows leave the failure domain.
+    pub exit_rule: ExitRule,
 }
 
 /// Chooses one of the least loaded candidates among those with the lowest penalty.
@@ -76,6 +95,15 @@
     let penalty = candidates.iter().map(|candidate| candidate.penalty).min()?;
     let preferred: Vec<&Candidate> =
         candidates.iter().filter(|candidate| candidate.penalty == penalty).collect();
+    match params.exit_rule {
+        ExitRule::FixedExcess => {}
+        ExitRule::Stay { far_share } => {
+            return choose_on_side(preferred, Side::Near, 1.0 - far_share, params);
+        }
+        ExitRule::Leave { far_share } => {
+            return choose_on_side(preferred, Side::Far, far_share, params);
+        }
+    }
     let near: Vec<&Candidate> =
         preferred.iter().copied().filter(|candidate| candidate.is_near).collect();
     let emptiest_overall = least_loaded(&preferred, params.tie_seed)?;
@@ -88,6 +116,30 @@
     }
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Near,
+    Far,
+}
+
+/// Chooses among the candidates on `side`, which get `share` of the unreported flows; among all if
+/// there are none.
+fn choose_on_side(
+    mut candidates: Vec<&Candidate>,
+    side: Side,
+    share: f64,
+    params: ChoiceParams,
+) -> Option<TargetIndex> {
+    let is_near = side == Side::Near;
+    let mut unreported_flows = params.unreported_flows;
+    if candidates.iter().any(|candidate| candidate.is_near == is_near) {
+        candidates.retain(|candidate| candidate.is_near == is_near);
+        unreported_flows *= share;
+    }
+    let emptiest = least_loaded(&candidates, params.tie_seed)?;
+    Some(water_fill(candidates, emptiest, ChoiceParams { unreported_flows, ..params }).index)
+}
+
 fn mean_load(candidates: &[&Candidate]) -> f64 {
     let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     sum / candidates.len().max(1) as f64
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -16,9 +16,14 @@
     Suspected,
     /// Times a target was declared dead.
     Dead,
+    /// Openings assigned to a target of another failure domain.
+    LeftDomain,
+    /// Bytes of callers and targets on flows to targets of other failure domains; only counted if
+    /// the cost of leaving decides.
+    LeftDomainBytes,
 }
 
-const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+const COUNTER_COUNT: usize = Counter::LeftDomainBytes as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -36,11 +41,18 @@
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
+        (Counter::LeftDomain, "flows_left_domain"),
+        (Counter::LeftDomainBytes, "bytes_left_domain"),
     ];
 
     /// Increments `counter`.
     pub fn count(&mut self, counter: Counter) {
-        self.counts[counter as usize] += 1;
+        self.add(counter, 1);
+    }
+
+    /// Increases `counter` by `amount`.
+    pub fn add(&mut self, counter: Counter, amount: u64) {
+        self.counts[counter as usize] += amount;
     }
 
     /// Counts a flow that was reset.
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -14,8 +14,8 @@
     placement::{OpeningRate, Unplaced},
 };
 use crate::{
-    Config, Counter, Counters, Event, FlowKey, FlowReport, Health, LatencySample, Reason,
-    ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
+    Config, Counter, Counters, DomainExits, Event, FlowKey, FlowReport, Health, LatencySample,
+    Reason, ReportedLoads, Segment, SegmentKind, Standing, StandingCause, Verdict,
     flows::{Flow, FlowSignal, FlowTable},
     openings::OpeningTable,
     precedence::Precedence,
@@ -66,6 +66,7 @@
     warmups: Warmups,
     speeds: TargetSpeeds,
     precedence: Precedence,
+    domain_exits: DomainExits,
     /// This host's rate of openings to each service, sorted by service.
     opening_rates: Vec<OpeningRate>,
     counters: Counters,
@@ -108,6 +109,7 @@
             warmups: Warmups::default(),
             speeds: TargetSpeeds::default(),
             precedence: Precedence::default(),
+            domain_exits: DomainExits::default(),
             opening_rates: Vec::new(),
             counters: Counters::default(),
             events: Vec::new(),
@@ -249,6 +251,9 @@
         self.warmups.record_opening(target.id, now_ms);
         self.add_flow(segment, target.id, now_ms);
         self.counters.count(Counter::Opened);
+        if target.domain_seed != self.config.domain_seed {
+            self.counters.count(Counter::LeftDomain);
+        }
         let flows = self.own_load.get(&target.id).map_or(0, |own_load| own_load.flows);
         self.push_event(Event::Opened {
             key: segment.key,
@@ -382,6 +387,7 @@
         let own_load = self.own_load.entry(target).or_default();
         previous.iter().for_each(|flow| own_load.subtract(flow));
         self.flows.get(&segment.key).into_iter().for_each(|flow| own_load.add(flow));
+        self.record_crossing(segment, previous.as_ref(), target);
         if signal == FlowSignal::Progress {
             self.record_latency(previous.as_ref(), listener, now_ms);
         }
@@ -406,6 +412,11 @@
     /// Records the latency of an answered request. `previous` is the flow before the answer came.
     fn record_latency(&mut self, previous: Option<&Flow>, listener: &Listener, now_ms: u64) {
         let Some(flow) = previous.filter(|flow| flow.is_busy) else { return };
+        if self.config.domain_exit.is_some() {
+            let answer_ms = now_ms.saturating_sub(flow.busy_since_ms);
+            let age_ms = now_ms.saturating_sub(flow.added_at_ms);
+            self.domain_exits.record_answer(listener.address, answer_ms, age_ms);
+        }
         if self.samples.len() < MAX_SAMPLES {
             self.samples.push(LatencySample {
                 listener: listener.address,
@@ -415,6 +426,23 @@
         }
     }
 
+    /// Counts the bytes of a packet and of the answer that it acknowledges. `previous` is the flow
+    /// before the packet came.
+    fn record_crossing(&mut self, segment: &Segment, previous: Option<&Flow>, target: TargetId) {
+        let flow = self.flows.get(&segment.key);
+        let (true, Some(previous), Some(flow)) =
+            (self.config.domain_exit.is_some(), previous, flow)
+        else {
+            return;
+        };
+        let bytes = flow.acknowledged_since(previous) + u32::from(segment.data_bytes);
+        self.domain_exits.record_bytes(segment.key.listener, bytes);
+        let known = self.known.binary_search_by_key(&target, |known| known.id);
+        if known.is_ok_and(|known| self.known[known].domain_seed != self.config.domain_seed) {
+            self.counters.add(Counter::LeftDomainBytes, u64::from(bytes));
+        }
+    }
+
     fn record_reset(&mut self, view: View<'_>, segment: &Segment, reason: Reason) {
         self.counters.count_reset(reason);
         let target = segment.tag.and_then(|tag| view.directory.find_target_by_tag(tag));
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -4,7 +4,8 @@
 use rand::RngExt;
 
 use crate::{
-    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+    Admission, Candidate, ChoiceParams, Dispatcher, Event, ExitInputs, ExitRule, Penalty, Reason,
+    Standing, View, choose_target,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
@@ -69,6 +70,7 @@
             unreported_flows: self.unreported_flows(service_seed, now_ms),
             random_fraction: self.rng.random(),
             tie_seed: self.rng.random(),
+            exit_rule: ExitRule::FixedExcess,
         };
         self.record_opening(service_seed, now_ms);
         let tried_domains: Vec<u64> = tried
@@ -112,7 +114,56 @@
         candidates.retain(|candidate| {
             self.warmups.may_open(view.directory.target(candidate.index).id, now_ms)
         });
-        choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold))
+        let exit_rule = self.exit_rule(view, service_seed, listener, &candidates, now_ms);
+        choose_target(&candidates, ChoiceParams { exit_rule, ..params })
+            .ok_or(Unplaced::Waiting(Reason::Cold))
+    }
+
+    /// Draws whether a new flow leaves the failure domain.
+    fn exit_rule(
+        &mut self,
+        view: View<'_>,
+        service_seed: u64,
+        listener: &Listener,
+        candidates: &[Candidate],
+        now_ms: u64,
+    ) -> ExitRule {
+        let Some(settings) = self.config.domain_exit else { return ExitRule::FixedExcess };
+        let busy_ratio = match self.domain_exits.busy_ratio(service_seed, now_ms) {
+            Some(busy_ratio) => busy_ratio,
+            None => {
+                let busy_ratio = self.busy_ratio(view, candidates);
+                self.domain_exits.set_busy_ratio(service_seed, busy_ratio, now_ms)
+            }
+        };
+        let inputs = ExitInputs {
+            listener: listener.address,
+            candidates,
+            busy_ratio,
+            has_far_loads: self.reported.has_far_loads(),
+        };
+        if let Some(change) = self.domain_exits.adjust(settings, inputs, now_ms) {
+            self.push_event(Event::DomainExit { listener: listener.address, change });
+        }
+        let far_share = self.domain_exits.share(listener.address);
+        match self.rng.random::<f64>() < far_share {
+            true => ExitRule::Leave { far_share },
+            false => ExitRule::Stay { far_share },
+        }
+    }
+
+    /// The flows with a request in flight, as a fraction of all flows of the candidates.
+    fn busy_ratio(&self, view: View<'_>, candidates: &[Candidate]) -> f64 {
+        let (mut flows, mut busy) = (0, 0);
+        for candidate in candidates {
+            let target = view.directory.target(candidate.index).id;
+            let own_load = self.own_load.get(&target).copied().unwrap_or_default();
+            let reported = self.reported.get(target);
+            flows += own_load.flows + reported.flows;
+            // An overdue request counts several times.
+            busy += (own_load.busy + reported.busy).min(own_load.flows + reported.flows);
+        }
+        f64::from(busy) / f64::from(flows.max(1))
     }
 
     /// Estimates how many flows other hosts of this failure domain have opened to a service since
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -5,7 +5,7 @@
 use catalog::{RequestKind, Revision, TargetId};
 use routing::HostId;
 
-use crate::{FlowKey, Standing};
+use crate::{ExitChange, FlowKey, Standing};
 
 /// Why a flow was reset or a packet dropped. The discriminants are result codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -121,6 +121,13 @@
         /// The stalled flows counted against it.
         stalled_flows: u32,
     },
+    /// Flows to a listener begin or cease to leave the failure domain.
+    DomainExit {
+        /// The listener's address.
+        listener: SocketAddrV4,
+        /// The change.
+        change: ExitChange,
+    },
 }
 
 /// The time from a request to the first acknowledgement of its answer, as seen by this host.
--- a/crates/tagged/src/flows.rs
+++ b/crates/tagged/src/flows.rs
@@ -29,6 +29,18 @@
     pub(crate) is_idle: bool,
 }
 
+impl Flow {
+    /// How many bytes of the target the caller acknowledged since `previous`.
+    pub(crate) fn acknowledged_since(&self, previous: &Flow) -> u32 {
+        // The first acknowledgement covers the target's initial sequence number.
+        if previous.is_opening {
+            return 0;
+        }
+        let bytes = self.last_acknowledged.wrapping_sub(previous.last_acknowledged) as i32;
+        bytes.max(0) as u32
+    }
+}
+
 /// What a packet reveals about the target of its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FlowSignal {
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod counters;
 mod dispatcher;
+mod domain_exit;
 mod event;
 mod flows;
 mod health;
@@ -27,10 +28,11 @@
 mod warmup;
 
 pub use crate::{
-    choice::{Candidate, ChoiceParams, Penalty, choose_target},
+    choice::{Candidate, ChoiceParams, ExitRule, Penalty, choose_target},
     config::{Config, DomainExit, WarmupLimit},
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
+    domain_exit::{DomainExits, ExitChange, ExitEstimate, ExitInputs},
     event::{Event, FlowReport, LatencySample, Reason, StandingCause},
     health::{CheckOutcome, DueCheck, Health, Standing, Verdict as CheckVerdict, judge_check},
     load::{HostLoad, ReportedLoads, TargetLoad},
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,11 +54,15 @@
     TargetChecked = 1404,
     /// The log of decisions is incomplete: some were not logged.
     DecisionsLeftOut = 1405,
+    /// Flows to a listener begin to leave the failure domain.
+    DomainExitBegan = 1421,
+    /// Flows to a listener no longer leave the failure domain.
+    DomainExitEnded = 1422,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 24] = [
+    pub const ALL: [Event; 26] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -83,6 +87,8 @@
         Event::TargetStanding,
         Event::TargetChecked,
         Event::DecisionsLeftOut,
+        Event::DomainExitBegan,
+        Event::DomainExitEnded,
     ];
 
     /// The stable number of this event.
@@ -117,6 +123,8 @@
             Event::TargetStanding => "target_standing",
             Event::TargetChecked => "target_checked",
             Event::DecisionsLeftOut => "decisions_left_out",
+            Event::DomainExitBegan => "domain_exit_began",
+            Event::DomainExitEnded => "domain_exit_ended",
         }
     }
 
