--- a/crates/tagged/src/domain_exit.rs
+++ b/crates/tagged/src/domain_exit.rs
@@ -31,11 +31,13 @@
 /// The part of a flow's age that a caller may rather wait than be exposed to a partition that long.
 const CUT_RISK: f64 = 0.01;
 
-/// The same while targets of other domains are suspect or silent, or were recently.
+/// The same while other domains count as unreliable.
 const RECENT_CUT_RISK: f64 = 0.1;
 
-/// How long other domains count as unreliable after one of their targets was suspect or silent, in
-/// milliseconds.
+/// The ratio of suspect or silent slots to good ones from which other domains count as unreliable.
+const MAX_UNRELIABLE_RATIO: f64 = 0.1;
+
+/// How long they count as unreliable after that, in milliseconds.
 const RISK_MEMORY_MS: u64 = 20_000;
 
 /// The utilization below which targets count as unused.
@@ -119,7 +121,7 @@
 pub struct DomainExits {
     /// Sorted by address.
     listeners: Vec<ListenerExit>,
-    /// When a target of another domain was last suspect or silent.
+    /// When many targets of other domains were last suspect or silent.
     far_trouble_at_ms: Option<u64>,
     /// Sorted by service.
     busy_ratios: Vec<BusyRatio>,
@@ -184,7 +186,7 @@
         now_ms: u64,
     ) -> Option<ExitChange> {
         let sides = Sides::of(inputs.candidates);
-        if sides.has_far_trouble {
+        if sides.unreliable_slots > MAX_UNRELIABLE_RATIO * sides.far_slots {
             self.far_trouble_at_ms = Some(now_ms);
         }
         let is_troubled =
@@ -263,7 +265,8 @@
     near_slots: f64,
     far_load: f64,
     far_slots: f64,
-    has_far_trouble: bool,
+    /// The slots elsewhere that are suspect or in silent domains.
+    unreliable_slots: f64,
 }
 
 impl Sides {
@@ -281,7 +284,7 @@
                     sides.far_slots += slots;
                 }
                 Penalty::DomainSilent | Penalty::Suspect if !candidate.is_near => {
-                    sides.has_far_trouble = true;
+                    sides.unreliable_slots += slots;
                 }
                 _ => {}
             }
--- a/crates/tagged/tests/domain_exit.rs
+++ b/crates/tagged/tests/domain_exit.rs
@@ -1,13 +1,14 @@
 //! Flows leave the failure domain when that is worth its cost, and in the right number.
 
-use std::net::SocketAddrV4;
+mod support;
 
 use catalog::TargetIndex;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{FAR, Host, NEAR, data, listener};
 use tagged::{
-    Candidate, ChoiceParams, DomainExit, DomainExits, ExitChange, ExitInputs, ExitRule, Penalty,
-    choose_target,
+    Candidate, ChoiceParams, Config, Counter, Dispatcher, DomainExit, DomainExits, ExitChange,
+    ExitInputs, ExitRule, Penalty, choose_target,
 };
 
 const STEP_MS: u64 = 10;
@@ -21,10 +22,6 @@
 const COST: DomainExit = DomainExit { round_trip_us: 2_800, price_us_per_kb: 20_000 };
 const FIXED_EXCESS: Option<DomainExit> = None;
 
-fn listener() -> SocketAddrV4 {
-    SocketAddrV4::new([198, 18, 0, 1].into(), 443)
-}
-
 /// The target counts of the domains and the load on each as a fraction of `SLOTS`.
 #[derive(Debug, Clone, Copy)]
 struct Phase {
@@ -271,6 +268,21 @@
     assert!(matches!(exits.adjust(COST, inputs, 2_000), Some(ExitChange::Ended(_))));
 }
 
+#[test]
+fn counted_bytes() {
+    let config = Config { domain_seed: NEAR, domain_exit: Some(COST), ..Config::default() };
+    let targets = [(1, FAR), (2, FAR)];
+    let mut host = Host { dispatcher: Dispatcher::new(config, 1), ..Host::new(&targets) };
+    host.dispatcher.on_directory(&host.directory, host.now_ms);
+    let (_, tag) = host.open(1, 0);
+    host.send(&data(1, tag, 6, 50));
+    host.send(&data(1, tag, 106, 1_050));
+    let counters = host.dispatcher.counters();
+    assert_eq!(counters.get(Counter::LeftDomain), 1);
+    // Two packets of 100 bytes, and the answer of 1,000.
+    assert_eq!(counters.get(Counter::LeftDomainBytes), 1_200);
+}
+
 proptest! {
     #[test]
     fn extremes(
