Count up to a second between openings when the leaving share is adjusted

By reading: a host that opens to a listener once a second followed the load at half the speed of one that opens often.

--- a/crates/tagged/src/domain_exit.rs
+++ b/crates/tagged/src/domain_exit.rs
@@ -20,7 +20,7 @@
 const FALL_MS: f64 = 8_000.0;
 
 /// The longest time between openings that counts for an adjustment, in milliseconds.
-const MAX_STEP_MS: u64 = 500;
+const MAX_STEP_MS: u64 = 1_000;
 
 /// The share falls only when leaving gains less than this part of its cost.
 const RETURN_COST_RATIO: f64 = 0.5;
