--- a/crates/tagged/tests/domain_exit.rs
+++ b/crates/tagged/tests/domain_exit.rs
@@ -230,6 +230,20 @@
     assert_eq!(replay.left, 0.0, "silent domains get nothing");
 }
 
+#[test]
+fn late_reports() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut replay = Replay::new(48, Some(COST));
+    replay.report_age_ms = 4_000;
+    let short = phase(THIRD_GONE, [0.72, 0.4, 0.4]);
+    replay.run(&mut rng, short);
+    for _ in 0..5 {
+        replay.run(&mut rng, short);
+        let (left, wait_ms) = (replay.left_percent(), replay.worst_wait_ms);
+        assert!(left < 30.0 && wait_ms < 100.0, "{left:.1} % left, {wait_ms:.0} ms");
+    }
+}
+
 #[test]
 fn steady_edge() {
     // The load at which leaving just pays.
