--- a/crates/tagged/src/domain_exit.rs
+++ b/crates/tagged/src/domain_exit.rs
@@ -16,6 +16,9 @@
 /// interval between load reports, so that the effect of a change is seen before many more follow.
 const RISE_MS: f64 = 1_500.0;
 
+/// The part of the excess that leaves at once, before the share has risen.
+const IMMEDIATE_RATIO: f64 = 0.25;
+
 /// How long it takes to fall. Flows that leave without need cost less than a second overload.
 const FALL_MS: f64 = 8_000.0;
 
@@ -84,6 +87,9 @@
     age_us: f64,
     /// By how much waiting multiplies the time to an answer.
     queue_factor: f64,
+    /// The share of new flows that leaves as long as there is no excess.
+    settled_share: f64,
+    /// The share that leaves now.
     share: f64,
     adjusted_at_ms: u64,
 }
@@ -97,6 +103,7 @@
             answer_us: INITIAL_ANSWERS * INITIAL_ANSWER_US,
             age_us: INITIAL_ANSWERS * INITIAL_AGE_US,
             queue_factor: 1.0,
+            settled_share: 0.0,
             share: 0.0,
             adjusted_at_ms: 0,
         }
@@ -220,21 +227,23 @@
             let near_utilization = wait.utilization(sides.near_load).max(MIN_UTILIZATION);
             (1.0 - wait.utilization(level) / near_utilization).clamp(-1.0, 1.0)
         };
-        exit.share = match () {
-            () if !can_compare => 0.0,
+        let passed_ms = passed_ms as f64;
+        let (change, immediate) = match () {
+            () if !can_compare => (-1.0, 0.0),
             () if gain_us > cost_us => {
-                exit.share + passed_ms as f64 / RISE_MS * excess(cost_us).max(0.0)
+                let excess = excess(cost_us).max(0.0);
+                (passed_ms / RISE_MS * excess, IMMEDIATE_RATIO * excess)
             }
             () if gain_us < RETURN_COST_RATIO * cost_us => {
-                exit.share
-                    + passed_ms as f64 / FALL_MS * excess(RETURN_COST_RATIO * cost_us).min(0.0)
+                (passed_ms / FALL_MS * excess(RETURN_COST_RATIO * cost_us).min(0.0), 0.0)
             }
-            () => exit.share,
+            () => (0.0, 0.0),
         };
-        exit.share = exit.share.clamp(0.0, 1.0);
-        if exit.share < previous && exit.share < MIN_SHARE {
-            exit.share = 0.0;
+        exit.settled_share = (exit.settled_share + change).clamp(0.0, 1.0);
+        if change < 0.0 && exit.settled_share < MIN_SHARE {
+            exit.settled_share = 0.0;
         }
+        exit.share = (exit.settled_share + immediate).clamp(0.0, 1.0);
         let estimate = ExitEstimate {
             near_wait_us: near_us as u64,
             far_wait_us: far_us as u64,
