--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -20,12 +20,17 @@
     Dead,
     /// Times a target was set aside because of how it answers.
     SetAside,
+    /// Openings assigned to a target of another failure domain.
+    LeftDomain,
+    /// Bytes of callers and targets on flows to targets of other failure domains; only counted if
+    /// the cost of leaving decides.
+    LeftDomainBytes,
 }
 
 /// The number of priorities that are counted one by one; less urgent ones count as the last.
 const PRIORITY_COUNT: usize = 8;
 
-const COUNTER_COUNT: usize = Counter::SetAside as usize + 1;
+const COUNTER_COUNT: usize = Counter::LeftDomainBytes as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -46,11 +51,18 @@
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
         (Counter::SetAside, "targets_set_aside"),
+        (Counter::LeftDomain, "flows_left_domain"),
+        (Counter::LeftDomainBytes, "bytes_left_domain"),
     ];
 
     /// Increments `counter`.
     pub fn count(&mut self, counter: Counter) {
-        self.counts[counter as usize] += 1;
+        self.add(counter, 1);
+    }
+
+    /// Increases `counter` by `amount`.
+    pub fn add(&mut self, counter: Counter, amount: u64) {
+        self.counts[counter as usize] += amount;
     }
 
     /// Counts a flow that was reset.
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -5,7 +5,7 @@
 use catalog::{RequestKind, Revision, TargetId};
 use routing::HostId;
 
-use crate::{FlowKey, Shortage, Standing};
+use crate::{ExitChange, FlowKey, Shortage, Standing};
 
 /// Why a flow was reset or a packet dropped. The discriminants are result codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,6 +134,13 @@
         /// The requests that it answered much too fast or not in time, over all hosts.
         failures: u64,
     },
+    /// Flows to a listener begin or cease to leave the failure domain.
+    DomainExit {
+        /// The listener's address.
+        listener: SocketAddrV4,
+        /// The change.
+        change: ExitChange,
+    },
 }
 
 /// The time from a request to the first acknowledgement of its answer, as seen by this host.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -62,11 +62,15 @@
     ServiceShortage = 1406,
     /// A target was set aside because of how it answers, or was taken back.
     TargetSetAside = 1407,
+    /// Flows to a listener begin to leave the failure domain.
+    DomainExitBegan = 1421,
+    /// Flows to a listener no longer leave the failure domain.
+    DomainExitEnded = 1422,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 28] = [
+    pub const ALL: [Event; 30] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -95,6 +99,8 @@
         Event::DecisionsLeftOut,
         Event::ServiceShortage,
         Event::TargetSetAside,
+        Event::DomainExitBegan,
+        Event::DomainExitEnded,
     ];
 
     /// The stable number of this event.
@@ -133,6 +139,8 @@
             Event::DecisionsLeftOut => "decisions_left_out",
             Event::ServiceShortage => "service_shortage",
             Event::TargetSetAside => "target_set_aside",
+            Event::DomainExitBegan => "domain_exit_began",
+            Event::DomainExitEnded => "domain_exit_ended",
         }
     }
 
