Deal the limit on openings of cold targets to hosts as permits

Each host ramped cold targets for itself, though the limit counts all hosts, and noted only the first warm-up of a target. Half of the limit is now dealt to the hosts of the target's failure domain by rendezvous hashing; hosts that vanish keep their permits for a while, and hosts that start use none. After the warm-up the share of the returned targets grows for 5 s.

Simulated with 30 and 145 hosts, equal and unequal member lists, cuts, starts and deaths: no cold target gets more than 5 openings in a second at a limit of 5.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -42,6 +42,8 @@
     targets: Vec<(Target, Presence)>,
     /// The revisions at which the items of `targets` were created.
     created: Vec<Revision>,
+    /// The editions of the rows of `targets`.
+    editions: Vec<u64>,
     tags: Arc<TagTable>,
     /// The targets whose address a target that started later reuses, sorted.
     replaced: Vec<TargetIndex>,
@@ -68,6 +70,7 @@
                 Record::Target(target) => {
                     directory.targets.push((target.clone(), row.presence));
                     directory.created.push(row.created);
+                    directory.editions.push(row.edition);
                 }
                 _ if row.presence == Presence::Gone => {}
                 Record::Listener(listener) => directory.listeners.push(listener.clone()),
@@ -198,6 +201,11 @@
         self.targets.iter().map(|entry| &entry.0)
     }
 
+    /// Every target with the edition of its row.
+    pub fn targets_with_editions(&self) -> impl Iterator<Item = (&Target, u64)> {
+        self.targets().zip(self.editions.iter().copied())
+    }
+
     /// Whether the store lists the target at `index`.
     pub fn presence(&self, index: TargetIndex) -> Presence {
         self.targets[index.0].1
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -36,6 +36,8 @@
     replay_guard: ReplayGuard,
     target_keys: TargetKeys,
     members_version: u64,
+    /// The version of the members that were last taken.
+    taken_members_version: Option<u64>,
     /// Whether the last call to the store succeeded; a change is logged.
     is_store_available: bool,
     loads_sent_at_ms: u64,
@@ -72,6 +74,7 @@
             replay_guard: ReplayGuard::default(),
             target_keys: TargetKeys::default(),
             members_version: 0,
+            taken_members_version: None,
             is_store_available: true,
             loads_sent_at_ms: 0,
             load_reports_sent: 0,
@@ -300,6 +303,26 @@
         members.filter(move |member| member.state.is_alive() && member.id != me)
     }
 
+    /// The hosts that are alive, sorted by id, and this host, if they have changed since the last
+    /// call.
+    pub(crate) fn take_changed_hosts(&mut self) -> Option<Vec<(HostId, u64)>> {
+        let version = self.membership.version();
+        if self.taken_members_version == Some(version) {
+            return None;
+        }
+        self.taken_members_version = Some(version);
+        let me = self.membership.me();
+        let mut hosts: Vec<(HostId, u64)> =
+            self.peers().chain([me]).map(|member| (member.id, member.domain_seed)).collect();
+        hosts.sort_unstable();
+        Some(hosts)
+    }
+
+    /// Makes the next call of [`Core::take_changed_hosts`] return the hosts again.
+    pub(crate) fn retake_hosts(&mut self) {
+        self.taken_members_version = None;
+    }
+
     fn update_relay_peers(&mut self) {
         if self.members_version == self.membership.version() {
             return;
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -335,6 +335,7 @@
             let messages = self.with_core(|core| core.tick(now_ms));
             self.publish_and_send(messages);
             self.send_loads(now_ms);
+            self.publish_hosts();
             let next = self.with_core(|core| core.relay().role());
             if next != role {
                 role = next;
@@ -348,6 +349,15 @@
         }
     }
 
+    /// Tells the data thread which hosts are alive, if that has changed.
+    fn publish_hosts(&self) {
+        if let Some(hosts) = self.with_core(Core::take_changed_hosts) {
+            if self.shared.commands.0.try_send(Command::Members(hosts)).is_err() {
+                self.with_core(Core::retake_hosts);
+            }
+        }
+    }
+
     fn send_loads(&self, now_ms: u64) {
         if self.loads.borrow().is_none() {
             return;
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -251,6 +251,9 @@
                 Command::Checked { target, verdict, started_at_ms } => {
                     self.dispatcher.on_check(target, verdict, started_at_ms, now_ms);
                 }
+                Command::Members(members) => {
+                    self.dispatcher.on_members(self.shared.me, &members, now_ms);
+                }
                 Command::Explain(key, reply_sender) => {
                     // The operator's connection may be closed by now.
                     let _ = reply_sender.try_send(self.dispatcher.flow_report(&key, now_ms));
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -46,6 +46,8 @@
         /// When the check began, by the monotonic clock.
         started_at_ms: u64,
     },
+    /// The hosts that are alive, sorted by id, each with its failure domain; this host included.
+    Members(Vec<(HostId, u64)>),
     /// Reports what is known of a flow, for an operator.
     Explain(FlowKey, Sender<Option<FlowReport>>),
 }
--- a/crates/tagged/src/config.rs
+++ b/crates/tagged/src/config.rs
@@ -9,6 +9,14 @@
     pub slack: u32,
 }
 
+impl WarmupLimit {
+    /// The number of openings that a target may get in any second, if it bears `per_ks` in 1,000 s.
+    pub fn openings_per_second(&self, per_ks: u32) -> u64 {
+        let permille = u64::from(per_ks).saturating_mul(u64::from(self.overshoot_permille));
+        permille / 1_000_000 + u64::from(self.slack)
+    }
+}
+
 /// What it costs to serve a caller from another failure domain than the host's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DomainExit {
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -16,9 +16,11 @@
     Suspected,
     /// Times a target was declared dead.
     Dead,
+    /// Openings assigned to a cold target whose openings are limited.
+    OpenedCold,
 }
 
-const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+const COUNTER_COUNT: usize = Counter::OpenedCold as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -36,6 +38,7 @@
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
+        (Counter::OpenedCold, "flows_opened_cold"),
     ];
 
     /// Increments `counter`.
--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -246,6 +246,9 @@
             return Verdict::Drop(Reason::NoTarget);
         };
         self.openings.record_sent(segment.key, target.id, now_ms);
+        if self.warmups.is_limited(target.id, now_ms) {
+            self.counters.count(Counter::OpenedCold);
+        }
         self.warmups.record_opening(target.id, now_ms);
         self.add_flow(segment, target.id, now_ms);
         self.counters.count(Counter::Opened);
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -109,10 +109,19 @@
             return Err(no_target(view, listener));
         }
         let mut candidates = self.apply_slow_start(view, candidates, now_ms);
-        candidates.retain(|candidate| {
-            self.warmups.may_open(view.directory.target(candidate.index).id, now_ms)
-        });
-        choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold))
+        let id = |candidate: &Candidate| view.directory.target(candidate.index).id;
+        let mut is_held_back =
+            |candidate: &Candidate| !self.warmups.may_open(id(candidate), params.tie_seed, now_ms);
+        let held_back: Vec<Candidate> = candidates.extract_if(.., |c| is_held_back(c)).collect();
+        let unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
+        // A cold target later is better than a dead one now.
+        if held_back.iter().all(unlikely) || !candidates.iter().all(unlikely) {
+            return choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold));
+        }
+        match held_back.iter().any(|held| self.warmups.may_open_soon(id(held), now_ms)) {
+            true => Err(Unplaced::Waiting(Reason::Cold)),
+            false => Err(Unplaced::Refused(Reason::Cold)),
+        }
     }
 
     /// Estimates how many flows other hosts of this failure domain have opened to a service since
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -2,6 +2,7 @@
 
 use catalog::{Directory, Presence, TargetId, TargetIndex};
 use rand::seq::IndexedRandom;
+use routing::HostId;
 
 use super::KnownTarget;
 use crate::{
@@ -28,7 +29,13 @@
                 self.reset_flows(target, Reason::TargetGone);
             }
         }
-        self.warmups.on_directory(directory, now_ms);
+        self.warmups.on_directory(directory, self.config.warmup_limit, now_ms);
+    }
+
+    /// Applies the hosts that this host knows, sorted by id, each with its failure domain. They
+    /// include this host, `me`.
+    pub fn on_members(&mut self, me: HostId, members: &[(HostId, u64)], now_ms: u64) {
+        self.warmups.on_members(me, members, now_ms);
     }
 
     /// Notes the targets of `directory`, and forgets the health of those that have started again.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -20,6 +20,7 @@
 mod health;
 mod load;
 mod openings;
+mod permits;
 mod precedence;
 mod segment;
 mod speed;
--- /dev/null
+++ b/crates/tagged/tests/cold_permits.rs
@@ -0,0 +1,252 @@
+//! All hosts together open few flows to a cold target, whatever they know of each other.
+
+mod support;
+
+use catalog::{Record, Revision, Row, Service};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use routing::HostId;
+use support::{FAR, Host, NEAR, SERVICE, opening, rows};
+use tagged::{Config, Dispatcher, Reason, Verdict, WarmupLimit};
+
+/// The targets of the own failure domain, which become cold; as many others stay warm.
+const COLD_TARGETS: u64 = 10;
+const STARTED_AT_MS: u64 = 10_000;
+const COLD_AT_MS: u64 = 20_000;
+const WARMUP_MS: u32 = 8_000;
+
+/// 0 openings a second, times 1.5, and 5 more.
+const LIMIT: usize = 5;
+
+fn warmup_rows(warmup_ms: u32, edition: u64, rate_per_ks: Option<u32>) -> Vec<Row> {
+    let targets: Vec<(u64, u64)> = (1..=2 * COLD_TARGETS)
+        .map(|id| (id, if id <= COLD_TARGETS { NEAR } else { FAR }))
+        .collect();
+    let mut all = rows(&targets);
+    let service = Record::Service(Service {
+        seed: SERVICE,
+        health_path: String::new(),
+        flows_max: 1_000,
+        warmup_openings_per_ks: rate_per_ks,
+    });
+    all.push(Row::written(Revision::new(1, 1), 1, service));
+    for row in &mut all {
+        if let Record::Target(target) = &mut row.record {
+            row.edition = edition;
+            target.warmup_ms = if target.domain_seed == NEAR { warmup_ms } else { 0 };
+        }
+    }
+    all
+}
+
+struct Fleet {
+    hosts: Vec<Host>,
+    is_alive: Vec<bool>,
+    rng: StdRng,
+    /// When each target got openings.
+    openings_ms: Vec<Vec<u64>>,
+    callers: u16,
+    openings_per_ms: u32,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Fleet {
+        let limit = WarmupLimit { overshoot_permille: 1_500, slack: LIMIT as u32 };
+        let config = Config { domain_seed: NEAR, warmup_limit: Some(limit), ..Config::default() };
+        let hosts = (0..count).map(|number| {
+            let dispatcher = Dispatcher::new(config.clone(), number as u64);
+            let mut host = Host { dispatcher, ..Host::new(&[]) };
+            host.set_rows(warmup_rows(0, 1, Some(0)));
+            host
+        });
+        Fleet {
+            hosts: hosts.collect(),
+            is_alive: vec![true; count],
+            rng: StdRng::seed_from_u64(seed),
+            openings_ms: vec![Vec::new(); 2 * COLD_TARGETS as usize],
+            callers: 0,
+            openings_per_ms: 2,
+        }
+    }
+
+    /// Tells each host the others that `knows` accepts.
+    fn set_members(&mut self, mut knows: impl FnMut(usize, usize) -> bool) {
+        for host in 0..self.hosts.len() {
+            let others =
+                (0..self.hosts.len()).filter(|other| *other == host || knows(host, *other));
+            let members: Vec<(HostId, u64)> =
+                others.map(|other| (HostId(other as u64 + 1), NEAR)).collect();
+            let now_ms = self.hosts[host].now_ms;
+            self.hosts[host].dispatcher.on_members(HostId(host as u64 + 1), &members, now_ms);
+        }
+    }
+
+    fn run_until(&mut self, end_ms: u64) {
+        while self.hosts[0].now_ms < end_ms {
+            self.hosts.iter_mut().for_each(|host| host.now_ms += 1);
+            for _ in 0..self.openings_per_ms {
+                let host = self.rng.random_range(0..self.hosts.len());
+                self.callers = self.callers.wrapping_add(1);
+                let packet = opening(self.callers, 0);
+                if self.is_alive[host]
+                    && let Verdict::Forward { target, .. } = self.hosts[host].send(&packet)
+                {
+                    self.openings_ms[target.0 as usize - 1].push(self.hosts[host].now_ms);
+                }
+            }
+        }
+    }
+
+    fn set_rows(&mut self, warmup_ms: u32, edition: u64) {
+        for host in &mut self.hosts {
+            host.set_rows(warmup_rows(warmup_ms, edition, Some(0)));
+        }
+    }
+
+    /// The most openings that a cold target got in any second of the warm-up, and the fewest that
+    /// one got in all.
+    fn extremes(&self) -> (usize, usize) {
+        let cold = self.openings_ms[..COLD_TARGETS as usize].iter().map(|openings_ms| {
+            let end_ms = COLD_AT_MS + u64::from(WARMUP_MS);
+            let during =
+                openings_ms.iter().filter(|at_ms| (COLD_AT_MS + 1..end_ms).contains(at_ms));
+            let during: Vec<u64> = during.copied().collect();
+            let in_second = |at_ms: &u64| {
+                during.iter().filter(|other| (*at_ms..at_ms + 1_000).contains(other)).count()
+            };
+            (during.iter().map(in_second).max().unwrap_or(0), during.len())
+        });
+        cold.fold((0, usize::MAX), |(most, fewest), (in_second, in_all)| {
+            (most.max(in_second), fewest.min(in_all))
+        })
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Knowledge {
+    All,
+    /// Each host lacks a tenth of the others.
+    Parts,
+    /// The halves have lost each other long ago.
+    OldCut,
+    /// The halves lose each other during the warm-up.
+    NewCut,
+    /// Each host loses all others during the warm-up.
+    Alone,
+    /// A fifth of the hosts have started shortly before the warm-up, and know only themselves.
+    Started,
+    /// A third of the hosts die during the warm-up.
+    Dead,
+}
+
+fn check(count: usize, knowledge: Knowledge, seed: u64) {
+    let mut fleet = Fleet::new(count, seed);
+    let mut rng = StdRng::seed_from_u64(seed);
+    fleet.set_members(|_, _| true);
+    let is_cut = |host: usize, other: usize| host % 2 == other % 2;
+    match knowledge {
+        Knowledge::Parts => fleet.set_members(|_, _| rng.random_range(0..10) > 0),
+        Knowledge::OldCut => {
+            fleet.hosts.iter_mut().for_each(|host| host.now_ms += 1);
+            fleet.set_members(is_cut);
+        }
+        _ => {}
+    }
+    fleet.hosts.iter_mut().for_each(|host| host.now_ms = COLD_AT_MS);
+    if knowledge == Knowledge::Started {
+        for number in (0..count).step_by(5) {
+            let limit = WarmupLimit { overshoot_permille: 1_500, slack: LIMIT as u32 };
+            let config = Config { warmup_limit: Some(limit), ..Config::default() };
+            fleet.hosts[number].dispatcher = Dispatcher::new(config, seed);
+            let me = HostId(number as u64 + 1);
+            fleet.hosts[number].dispatcher.on_members(me, &[(me, NEAR)], COLD_AT_MS);
+        }
+    }
+    fleet.set_rows(WARMUP_MS, 2);
+    fleet.run_until(COLD_AT_MS + 1_000);
+    match knowledge {
+        Knowledge::NewCut => fleet.set_members(is_cut),
+        Knowledge::Alone => fleet.set_members(|_, _| false),
+        Knowledge::Started => fleet.set_members(|_, _| true),
+        Knowledge::Dead => (0..count).step_by(3).for_each(|host| fleet.is_alive[host] = false),
+        _ => {}
+    }
+    fleet.run_until(COLD_AT_MS + u64::from(WARMUP_MS));
+    let (most, fewest) = fleet.extremes();
+    assert!(most <= LIMIT, "{most} in a second; {count} hosts, {knowledge:?}, seed {seed}");
+    if knowledge == Knowledge::All {
+        assert!(fewest >= 3, "{fewest} in all; {count} hosts, seed {seed}");
+    }
+}
+
+#[test]
+fn sum_of_hosts() {
+    for count in [30, 145] {
+        for knowledge in [
+            Knowledge::All,
+            Knowledge::Parts,
+            Knowledge::OldCut,
+            Knowledge::NewCut,
+            Knowledge::Alone,
+            Knowledge::Started,
+            Knowledge::Dead,
+        ] {
+            (1..=2).for_each(|seed| check(count, knowledge, seed));
+        }
+    }
+}
+
+#[test]
+fn holder_dies() {
+    // Both holders of a target's permits may die; the others take over before long.
+    let mut fleet = Fleet::new(30, 1);
+    fleet.set_members(|_, _| true);
+    fleet.hosts.iter_mut().for_each(|host| host.now_ms = COLD_AT_MS);
+    fleet.set_rows(60_000, 2);
+    (0..30).step_by(3).for_each(|host| fleet.is_alive[host] = false);
+    fleet.set_members(|_, other| other % 3 > 0);
+    fleet.run_until(COLD_AT_MS + 16_000);
+    for openings_ms in &fleet.openings_ms[..COLD_TARGETS as usize] {
+        let late = openings_ms.iter().filter(|at_ms| **at_ms > COLD_AT_MS + 11_000).count();
+        assert!(late > 0, "a target gets nothing after a holder died");
+    }
+}
+
+#[test]
+fn cold_again() {
+    let mut fleet = Fleet::new(30, 1);
+    fleet.set_members(|_, _| true);
+    fleet.set_rows(1_000, 2);
+    fleet.run_until(STARTED_AT_MS + 500);
+    fleet.set_rows(0, 3);
+    fleet.hosts.iter_mut().for_each(|host| host.now_ms = COLD_AT_MS);
+    fleet.set_rows(WARMUP_MS, 4);
+    // A row that only arrives again does not prolong the warm-up.
+    fleet.run_until(COLD_AT_MS + 4_000);
+    fleet.set_rows(WARMUP_MS, 4);
+    fleet.run_until(COLD_AT_MS + u64::from(WARMUP_MS) + 6_000);
+    let (most, fewest) = fleet.extremes();
+    assert!(most <= LIMIT && fewest > 0, "{most} in a second, {fewest} in all");
+    let end_ms = COLD_AT_MS + u64::from(WARMUP_MS) + 5_000;
+    let after = fleet.openings_ms[0].iter().filter(|at_ms| **at_ms > end_ms).count();
+    assert!(after > LIMIT, "{after} in the second after the share has grown");
+}
+
+#[test]
+fn only_cold_targets() {
+    // A host without a permit lets a caller wait only for a warm-up that ends in time.
+    for (warmup_ms, expected) in
+        [(500, Verdict::Drop(Reason::Cold)), (8_000, Verdict::Reset(Reason::Cold))]
+    {
+        let mut fleet = Fleet::new(30, 1);
+        fleet.set_members(|_, _| true);
+        let mut cold = warmup_rows(warmup_ms, 2, Some(0));
+        cold.retain(|row| !matches!(&row.record, Record::Target(target) if target.id.0 > 1));
+        let verdicts = fleet.hosts.iter_mut().map(|host| {
+            host.now_ms = COLD_AT_MS;
+            host.set_rows(cold.clone());
+            host.send(&opening(1, 0))
+        });
+        let verdicts: Vec<Verdict> = verdicts.collect();
+        assert_eq!(verdicts.iter().filter(|verdict| **verdict == expected).count(), 28);
+    }
+}
