--- a/crates/tagged/tests/cold_permits.rs
+++ b/crates/tagged/tests/cold_permits.rs
@@ -250,3 +250,43 @@
         assert_eq!(verdicts.iter().filter(|verdict| **verdict == expected).count(), 28);
     }
 }
+
+#[test]
+fn share_grows() {
+    // Once warm, the targets of the own failure domain would get all flows at once.
+    let mut fleet = Fleet::new(30, 1);
+    fleet.set_members(|_, _| true);
+    fleet.hosts.iter_mut().for_each(|host| host.now_ms = COLD_AT_MS);
+    fleet.set_rows(1_000, 2);
+    let near_in = |fleet: &mut Fleet, from_ms: u64| {
+        fleet.run_until(from_ms + 1_000);
+        let count = |targets: &[Vec<u64>]| {
+            targets.iter().flatten().filter(|at_ms| **at_ms > from_ms).count() as f64
+        };
+        count(&fleet.openings_ms[..COLD_TARGETS as usize]) / count(&fleet.openings_ms)
+    };
+    let shares: Vec<f64> =
+        (0..7).map(|second| near_in(&mut fleet, COLD_AT_MS + 1_000 * second)).collect();
+    assert!(shares[1] < 0.25 && shares[3] < 0.75, "{shares:.2?}");
+    assert!(shares[6] > 0.95, "{shares:.2?}");
+}
+
+#[test]
+fn unlimited_services() {
+    // A limit in the settings changes no choice for a service without a rate.
+    let targets_with = |warmup_limit| {
+        let config = Config { domain_seed: NEAR, warmup_limit, ..Config::default() };
+        let mut host = Host { dispatcher: Dispatcher::new(config, 1), ..Host::new(&[]) };
+        host.set_rows(warmup_rows(0, 1, None));
+        let targets = (0..300).map(|caller| {
+            host.now_ms += 20;
+            if caller == 100 {
+                host.set_rows(warmup_rows(2_000, 2, None));
+            }
+            host.open(caller, 0).0
+        });
+        targets.collect::<Vec<_>>()
+    };
+    let limit = WarmupLimit { overshoot_permille: 1_500, slack: LIMIT as u32 };
+    assert_eq!(targets_with(Some(limit)), targets_with(None));
+}
