--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -354,6 +354,7 @@
             self.shared.host_count.store(host_count, Ordering::Relaxed);
             self.publish_and_send(messages);
             self.send_loads(now_ms);
+            self.publish_hosts();
             let next = self.with_core(|core| core.relay().role());
             if next != role {
                 role = next;
@@ -367,6 +368,15 @@
         }
     }
 
+    /// Tells the data thread which hosts are alive, if that has changed.
+    fn publish_hosts(&self) {
+        if let Some(hosts) = self.with_core(Core::take_changed_hosts)
+            && self.shared.commands.0.try_send(Command::Members(hosts)).is_err()
+        {
+            self.with_core(Core::retake_hosts);
+        }
+    }
+
     fn send_loads(&self, now_ms: u64) {
         if self.loads.borrow().is_none() {
             return;
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -25,12 +25,14 @@
     /// Bytes of callers and targets on flows to targets of other failure domains; only counted if
     /// the cost of leaving decides.
     LeftDomainBytes,
+    /// Openings assigned to a cold target whose openings are limited.
+    OpenedCold,
 }
 
 /// The number of priorities that are counted one by one; less urgent ones count as the last.
 const PRIORITY_COUNT: usize = 8;
 
-const COUNTER_COUNT: usize = Counter::LeftDomainBytes as usize + 1;
+const COUNTER_COUNT: usize = Counter::OpenedCold as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -53,6 +55,7 @@
         (Counter::SetAside, "targets_set_aside"),
         (Counter::LeftDomain, "flows_left_domain"),
         (Counter::LeftDomainBytes, "bytes_left_domain"),
+        (Counter::OpenedCold, "flows_opened_cold"),
     ];
 
     /// Increments `counter`.
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -116,14 +116,43 @@
             return Err(no_target(view, listener));
         }
         let mut candidates = self.apply_slow_start(view, candidates, now_ms);
-        candidates.retain(|candidate| {
-            self.warmups.may_open(view.directory.target(candidate.index).id, now_ms)
-        });
+        self.hold_back_cold(view, &mut candidates, params.tie_seed, now_ms)?;
         let exit_rule = self.exit_rule(view, service_seed, listener, &candidates, now_ms);
         choose_target(&candidates, ChoiceParams { exit_rule, ..params })
             .ok_or(Unplaced::Waiting(Reason::Cold))
     }
 
+    /// Removes the candidates to which this host may not send an opening now, since all hosts together
+    /// are limited. `opening_seed` is drawn for each opening.
+    fn hold_back_cold(
+        &mut self,
+        view: View<'_>,
+        candidates: &mut Vec<Candidate>,
+        opening_seed: u64,
+        now_ms: u64,
+    ) -> Result<(), Unplaced> {
+        let id = |candidate: &Candidate| view.directory.target(candidate.index).id;
+        let is_unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
+        let mut held_back: Vec<Candidate> = candidates
+            .extract_if(.., |it| !self.warmups.may_open(id(it), opening_seed, now_ms))
+            .filter(|candidate| !is_unlikely(candidate))
+            .collect();
+        // A cold target later is better than a dead one now.
+        if held_back.is_empty() || !candidates.iter().all(is_unlikely) {
+            return Ok(());
+        }
+        if held_back.iter().any(|candidate| !self.warmups.is_limited(id(candidate), now_ms)) {
+            // Nothing else is left, so targets whose share only grows take what comes.
+            held_back.retain(|candidate| !self.warmups.is_limited(id(candidate), now_ms));
+            *candidates = held_back;
+            return Ok(());
+        }
+        match held_back.iter().any(|held| self.warmups.may_open_soon(id(held), now_ms)) {
+            true => Err(Unplaced::Waiting(Reason::Cold)),
+            false => Err(Unplaced::Refused(Reason::Cold)),
+        }
+    }
+
     /// Draws whether a new flow leaves the failure domain.
     fn exit_rule(
         &mut self,
