Leave overdue requests out of the room of a service

Cause: a caller that gives up sends nothing, so its request counts as overdue, with the weight of 20 requests, until the flow is idle.

Change: the room counts the requests in flight that are not overdue.

--- a/crates/tagged/src/dispatcher/loads.rs
+++ b/crates/tagged/src/dispatcher/loads.rs
@@ -13,7 +13,7 @@
 
 /// How many requests an overdue one counts as. This is enough to keep new flows away from its
 /// target even if the others have 30 flows per slot, as on larger sites.
-const OVERDUE_WEIGHT: u32 = 20;
+pub(super) const OVERDUE_WEIGHT: u32 = 20;
 
 /// This host's load report to other hosts.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -3,6 +3,7 @@
 use catalog::{Listener, TargetId, TargetIndex};
 use rand::RngExt;
 
+use super::loads::OVERDUE_WEIGHT;
 use crate::{
     Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
     precedence::Room,
@@ -101,7 +102,7 @@
                 continue;
             }
             if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
-                room.add_slots(target.slots, usage.busy, usage.own_busy);
+                room.add_slots(target.slots, usage.live_busy(), usage.own_busy);
             }
             let load = usage.load(target.slots) / self.speeds.relative(target.id);
             candidates.push(Candidate { index, is_near, penalty, slots: target.slots, load });
@@ -241,7 +242,7 @@
         Usage {
             flows: own.flows.saturating_add(reported.flows),
             busy: own.weighted_busy().saturating_add(reported.busy),
-            own_busy: own.busy,
+            own_busy: own.busy.saturating_sub(own.overdue),
         }
     }
 }
@@ -252,11 +253,17 @@
     flows: u32,
     /// The requests in flight, with extra weight for overdue ones.
     busy: u32,
-    /// The requests in flight that this host sees.
+    /// The requests in flight that this host sees, without overdue ones.
     own_busy: u32,
 }
 
 impl Usage {
+    /// The requests in flight without overdue ones, whose callers have mostly left: a caller that
+    /// gives up sends nothing, so its request counts until the flow is idle.
+    fn live_busy(&self) -> u32 {
+        (self.busy % OVERDUE_WEIGHT).saturating_sub(self.busy / OVERDUE_WEIGHT)
+    }
+
     /// The weighted flows per slot.
     fn load(&self, slots: u16) -> f64 {
         let weighted = f64::from(self.flows) + BUSY_WEIGHT * f64::from(self.busy);
--- a/crates/tagged/tests/opening_order.rs
+++ b/crates/tagged/tests/opening_order.rs
@@ -102,6 +102,13 @@
     assert!(!verdicts.iter().any(|verdict| matches!(verdict, Verdict::Reset(_))));
 }
 
+#[test]
+fn overdue_ignored() {
+    let mut host = short_host();
+    // One overdue request of weight 20 at each target.
+    assert_eq!(placed(&open_many(&mut host, PATIENT, 21, 20)), 20);
+}
+
 #[test]
 fn old_report_ignored() {
     let mut host = short_host();
