--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -351,10 +351,10 @@
 
     /// Tells the data thread which hosts are alive, if that has changed.
     fn publish_hosts(&self) {
-        if let Some(hosts) = self.with_core(Core::take_changed_hosts) {
-            if self.shared.commands.0.try_send(Command::Members(hosts)).is_err() {
-                self.with_core(Core::retake_hosts);
-            }
+        let Some(hosts) = self.with_core(Core::take_changed_hosts) else { return };
+        if self.shared.commands.0.try_send(Command::Members(hosts)).is_err() {
+            // The data thread lags; the next tick tries again.
+            self.with_core(Core::retake_hosts);
         }
     }
 
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -112,10 +112,17 @@
         let id = |candidate: &Candidate| view.directory.target(candidate.index).id;
         let mut is_held_back =
             |candidate: &Candidate| !self.warmups.may_open(id(candidate), params.tie_seed, now_ms);
-        let held_back: Vec<Candidate> = candidates.extract_if(.., |c| is_held_back(c)).collect();
-        let unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
+        let mut held_back: Vec<Candidate> =
+            candidates.extract_if(.., |candidate| is_held_back(candidate)).collect();
+        let is_unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
+        if candidates.iter().all(is_unlikely) {
+            // No other target would take the flows that are kept from those that are warm again.
+            let is_warm =
+                |candidate: &mut Candidate| !self.warmups.is_limited(id(candidate), now_ms);
+            candidates.extend(held_back.extract_if(.., is_warm));
+        }
         // A cold target later is better than a dead one now.
-        if held_back.iter().all(unlikely) || !candidates.iter().all(unlikely) {
+        if held_back.iter().all(is_unlikely) || !candidates.iter().all(is_unlikely) {
             return choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold));
         }
         match held_back.iter().any(|held| self.warmups.may_open_soon(id(held), now_ms)) {
--- a/crates/tagged/src/permits.rs
+++ b/crates/tagged/src/permits.rs
@@ -62,7 +62,9 @@
                 }
             }
         }
+        let earlier = std::mem::take(&mut self.dealt);
         self.deal(now_ms);
+        self.version += u64::from(self.dealt != earlier);
     }
 
     /// Whether this host plausibly knows the others.
@@ -74,6 +76,7 @@
     pub(crate) fn version(&mut self, now_ms: u64) -> u64 {
         if self.next_change_ms.is_some_and(|at_ms| now_ms >= at_ms) {
             self.deal(now_ms);
+            self.version += 1;
         }
         self.version
     }
@@ -122,6 +125,5 @@
         let changes = changes.flat_map(|at_ms| [at_ms + keeps_ms, at_ms + MEMORY_MS]);
         let settled_at_ms = self.started_at_ms + SETTLING_MS;
         self.next_change_ms = changes.chain([settled_at_ms]).filter(|at_ms| *at_ms > now_ms).min();
-        self.version += 1;
     }
 }
--- a/crates/tagged/tests/cold_permits.rs
+++ b/crates/tagged/tests/cold_permits.rs
@@ -290,3 +290,14 @@
     let limit = WarmupLimit { overshoot_permille: 1_500, slack: LIMIT as u32 };
     assert_eq!(targets_with(Some(limit)), targets_with(None));
 }
+
+#[test]
+fn all_returned() {
+    // Flows are not kept from targets that are warm again if there are no others.
+    let mut host = Fleet::new(1, 1).hosts.remove(0);
+    let mut cold = warmup_rows(1_000, 2, Some(0));
+    cold.retain(|row| !matches!(&row.record, Record::Target(target) if target.domain_seed == FAR));
+    host.set_rows(cold);
+    host.now_ms += 1_000;
+    (0..50).for_each(|caller| _ = host.open(caller, 0));
+}
