--- a/crates/tagged/tests/cold_permits.rs
+++ b/crates/tagged/tests/cold_permits.rs
@@ -180,7 +180,7 @@
 
 #[test]
 fn sum_of_hosts() {
-    for count in [30, 145] {
+    for count in [30, 145, 300] {
         for knowledge in [
             Knowledge::All,
             Knowledge::Parts,
