Wait for the dropped line to be counted in closed_tagged

Cause: the test read the metric right after SIGHUP. The check now asks until the line is counted, within the time that a host has to stop; a host that ends or never counts still fails.

--- a/crates/wagtailstalld/tests/stalled_log.rs
+++ b/crates/wagtailstalld/tests/stalled_log.rs
@@ -95,6 +95,14 @@
         assert!(sent.success());
     }
 
+    /// Whether the host has counted lines of its log that were not written.
+    fn drops_lines(&self) -> bool {
+        let metrics = self.page("/metrics").expect("the host does not answer");
+        let mut lines = metrics.lines();
+        let dropped = lines.find(|line| line.starts_with("log_lines_dropped"));
+        !dropped.expect("the metric is there").ends_with(" 0")
+    }
+
     /// Asserts that the host exits with 0 on SIGTERM.
     fn assert_stops(&mut self) {
         self.signal("-TERM");
@@ -141,9 +149,12 @@
     let mut host = Host::start(affinity, number, output);
     assert!(host.page("/status").is_some(), "the host does not answer");
     host.signal("-HUP");
-    let metrics = host.page("/metrics").expect("the host does not answer");
-    let dropped = metrics.lines().find(|line| line.starts_with("log_lines_dropped"));
-    assert!(dropped.is_some_and(|line| !line.ends_with(" 0")), "{dropped:?}");
+    let until = Instant::now() + GRACE;
+    // The thread that writes the log counts a line when it gets to it.
+    while !host.drops_lines() {
+        assert!(Instant::now() < until, "no dropped line was counted within {GRACE:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
     host.assert_stops();
 }
 
