Apply the fixed excess while the leaving share is far too small

Cause: the share of flows that leaves the failure domain rises after a report's age and then over seconds.

While leaving pays at twice its cost and the share is below three times the excess, the fixed excess of load applies as well, and half of the excess leaves at once instead of a quarter. With dear bytes it applies later, with prohibitive ones never.

The test covers 0.6 s and 1.5 s. A guard without the bound on the share made the load swing with reports 4 s old, so it was dropped.

--- a/crates/tagged/src/choice.rs
+++ b/crates/tagged/src/choice.rs
@@ -65,14 +65,27 @@
     Stay {
         /// The share of flows that leaves.
         far_share: f64,
+        /// What makes it leave nevertheless.
+        bound: StayBound,
     },
     /// This flow leaves, as does `far_share` of the others.
     Leave {
         /// The share of flows that leaves.
         far_share: f64,
+        /// What makes it go where there is most room, in any domain.
+        bound: StayBound,
     },
 }
 
+/// Which load of the own domain overrides the drawn share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StayBound {
+    /// None.
+    Unbounded,
+    /// The same as with [`ExitRule::FixedExcess`].
+    FixedExcess,
+}
+
 /// The load estimates and random numbers used by [`choose_target`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ChoiceParams {
@@ -93,56 +106,58 @@
 /// Chooses one of the least loaded candidates among those with the lowest penalty.
 pub fn choose_target(candidates: &[Candidate], params: ChoiceParams) -> Option<TargetIndex> {
     let penalty = candidates.iter().map(|candidate| candidate.penalty).min()?;
-    let preferred: Vec<&Candidate> =
+    let mut preferred: Vec<&Candidate> =
         candidates.iter().filter(|candidate| candidate.penalty == penalty).collect();
-    match params.exit_rule {
-        ExitRule::FixedExcess => {}
-        ExitRule::Stay { far_share } => {
-            return choose_on_side(preferred, Side::Near, 1.0 - far_share, params);
+    let is_bounded = match params.exit_rule {
+        ExitRule::FixedExcess => true,
+        ExitRule::Stay { bound, .. } | ExitRule::Leave { bound, .. } => {
+            bound == StayBound::FixedExcess
         }
-        ExitRule::Leave { far_share } => {
-            return choose_on_side(preferred, Side::Far, far_share, params);
-        }
-    }
-    let near: Vec<&Candidate> =
-        preferred.iter().copied().filter(|candidate| candidate.is_near).collect();
-    let emptiest_overall = least_loaded(&preferred, params.tie_seed)?;
-    let max_near_load = mean_load(&preferred) * (1.0 + SPILL_RATIO) + SPILL_FLOWS_PER_SLOT;
-    match least_loaded(&near, params.tie_seed) {
-        Some(emptiest) if !params.has_far_loads || mean_load(&near) <= max_near_load => {
-            Some(water_fill(near, emptiest, params).index)
-        }
-        _ => Some(water_fill(preferred, emptiest_overall, params).index),
+    };
+    let (side, share) = match params.exit_rule {
+        _ if is_bounded && params.has_far_loads && has_fixed_excess(&preferred) => (Side::Any, 1.0),
+        ExitRule::FixedExcess => (Side::Near, 1.0),
+        ExitRule::Stay { far_share, .. } => (Side::Near, 1.0 - far_share),
+        ExitRule::Leave { far_share, .. } => (Side::Far, far_share),
+    };
+    let mut unreported_flows = params.unreported_flows;
+    if preferred.iter().any(|candidate| side.holds(candidate)) {
+        preferred.retain(|candidate| side.holds(candidate));
+        unreported_flows *= share;
     }
+    let emptiest = least_loaded(&preferred, params.tie_seed)?;
+    Some(water_fill(preferred, emptiest, ChoiceParams { unreported_flows, ..params }).index)
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The candidates that an opening may go to.
+#[derive(Debug, Clone, Copy)]
 enum Side {
+    Any,
     Near,
     Far,
 }
 
-/// Chooses among the candidates on `side`, which get `share` of the unreported flows; among all if
-/// there are none.
-fn choose_on_side(
-    mut candidates: Vec<&Candidate>,
-    side: Side,
-    share: f64,
-    params: ChoiceParams,
-) -> Option<TargetIndex> {
-    let is_near = side == Side::Near;
-    let mut unreported_flows = params.unreported_flows;
-    if candidates.iter().any(|candidate| candidate.is_near == is_near) {
-        candidates.retain(|candidate| candidate.is_near == is_near);
-        unreported_flows *= share;
+impl Side {
+    fn holds(self, candidate: &Candidate) -> bool {
+        match self {
+            Side::Any => true,
+            Side::Near => candidate.is_near,
+            Side::Far => !candidate.is_near,
+        }
     }
-    let emptiest = least_loaded(&candidates, params.tie_seed)?;
-    Some(water_fill(candidates, emptiest, ChoiceParams { unreported_flows, ..params }).index)
 }
 
-fn mean_load(candidates: &[&Candidate]) -> f64 {
-    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
-    sum / candidates.len().max(1) as f64
+/// Whether the mean load of the own domain's targets is far above that of all.
+fn has_fixed_excess(candidates: &[&Candidate]) -> bool {
+    let near = candidates.iter().copied().filter(|candidate| candidate.is_near);
+    let max_near_load =
+        mean_load(candidates.iter().copied()) * (1.0 + SPILL_RATIO) + SPILL_FLOWS_PER_SLOT;
+    mean_load(near) > max_near_load
+}
+
+fn mean_load<'a>(candidates: impl Iterator<Item = &'a Candidate> + Clone) -> f64 {
+    let sum: f64 = candidates.clone().map(|candidate| candidate.load).sum();
+    sum / candidates.count().max(1) as f64
 }
 
 /// Distributes the unreported flows by water-filling: they raise the least loaded candidates to one
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -180,11 +180,7 @@
         if let Some(change) = self.domain_exits.adjust(settings, inputs, now_ms) {
             self.push_event(Event::DomainExit { listener: listener.address, change });
         }
-        let far_share = self.domain_exits.share(listener.address);
-        match self.rng.random::<f64>() < far_share {
-            true => ExitRule::Leave { far_share },
-            false => ExitRule::Stay { far_share },
-        }
+        self.domain_exits.rule(listener.address, self.rng.random())
     }
 
     /// The flows with a request in flight, as a fraction of all flows of the candidates.
--- a/crates/tagged/src/domain_exit.rs
+++ b/crates/tagged/src/domain_exit.rs
@@ -10,14 +10,21 @@
 
 use std::net::SocketAddrV4;
 
-use crate::{Candidate, DomainExit, Penalty};
+use crate::{Candidate, DomainExit, ExitRule, Penalty, StayBound};
 
 /// How long the share takes to rise with the excess of load, in milliseconds. Of the order of the
 /// interval between load reports, so that the effect of a change is seen before many more follow.
 const RISE_MS: f64 = 1_500.0;
 
 /// The part of the excess that leaves at once, before the share has risen.
-const IMMEDIATE_RATIO: f64 = 0.25;
+const IMMEDIATE_RATIO: f64 = 0.5;
+
+/// The fixed excess applies as well while the load at this multiple of the cost is still too high.
+const URGENT_COST_RATIO: f64 = 2.0;
+
+/// It ceases to apply once the settled share is this multiple of that excess: with stale reports,
+/// going on would make the load swing between the domains.
+const URGENT_EXCESS_RATIO: f64 = 3.0;
 
 /// How long it takes to fall. Flows that leave without need cost less than a second overload.
 const FALL_MS: f64 = 8_000.0;
@@ -91,6 +98,8 @@
     settled_share: f64,
     /// The share that leaves now.
     share: f64,
+    /// Overrides the share while it is far from what the excess calls for.
+    bound: StayBound,
     adjusted_at_ms: u64,
 }
 
@@ -105,6 +114,7 @@
             queue_factor: 1.0,
             settled_share: 0.0,
             share: 0.0,
+            bound: StayBound::Unbounded,
             adjusted_at_ms: 0,
         }
     }
@@ -179,10 +189,18 @@
         }
     }
 
-    /// The share of the listener's new flows that leaves, as of the last adjustment.
-    pub fn share(&self, listener: SocketAddrV4) -> f64 {
+    /// Decides about a flow of the listener, as of the last adjustment. `fraction` is a uniform
+    /// random number in [0, 1).
+    pub fn rule(&self, listener: SocketAddrV4, fraction: f64) -> ExitRule {
         let position = self.listeners.binary_search_by_key(&listener, |exit| exit.address);
-        position.map_or(0.0, |position| self.listeners[position].share)
+        let (far_share, bound) = position.map_or((0.0, StayBound::Unbounded), |position| {
+            let exit = self.listeners[position];
+            (exit.share, exit.bound)
+        });
+        match fraction < far_share {
+            true => ExitRule::Leave { far_share, bound },
+            false => ExitRule::Stay { far_share, bound },
+        }
     }
 
     /// Adjusts the share of new flows that leaves.
@@ -228,9 +246,14 @@
             (1.0 - wait.utilization(level) / near_utilization).clamp(-1.0, 1.0)
         };
         let passed_ms = passed_ms as f64;
+        exit.bound = StayBound::Unbounded;
         let (change, immediate) = match () {
             () if !can_compare => (-1.0, 0.0),
             () if gain_us > cost_us => {
+                let urgent_excess = excess(URGENT_COST_RATIO * cost_us);
+                if exit.settled_share < URGENT_EXCESS_RATIO * urgent_excess {
+                    exit.bound = StayBound::FixedExcess;
+                }
                 let excess = excess(cost_us).max(0.0);
                 (passed_ms / RISE_MS * excess, IMMEDIATE_RATIO * excess)
             }
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -29,7 +29,7 @@
 mod warmup;
 
 pub use crate::{
-    choice::{Candidate, ChoiceParams, ExitRule, Penalty, choose_target},
+    choice::{Candidate, ChoiceParams, ExitRule, Penalty, StayBound, choose_target},
     config::{Config, DomainExit, WarmupLimit},
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
--- a/crates/tagged/tests/domain_exit.rs
+++ b/crates/tagged/tests/domain_exit.rs
@@ -8,7 +8,7 @@
 use support::{FAR, Host, NEAR, data, listener};
 use tagged::{
     Candidate, ChoiceParams, Config, Counter, Dispatcher, DomainExit, DomainExits, ExitChange,
-    ExitInputs, ExitRule, Penalty, choose_target,
+    ExitInputs, ExitRule, Penalty, StayBound, choose_target,
 };
 
 const STEP_MS: u64 = 10;
@@ -22,6 +22,19 @@
 const COST: DomainExit = DomainExit { round_trip_us: 2_800, price_us_per_kb: 10_000 };
 const FIXED_EXCESS: Option<DomainExit> = None;
 
+fn candidate(index: usize, is_near: bool, slots: u16, load: f64) -> Candidate {
+    Candidate { index: TargetIndex(index), is_near, penalty: Penalty::None, slots, load }
+}
+
+fn inputs(candidates: &[Candidate], busy_ratio: f64) -> ExitInputs<'_> {
+    ExitInputs { listener: listener(), candidates, busy_ratio, has_far_loads: true }
+}
+
+fn params(exit_rule: ExitRule, random_fraction: f64, tie_seed: u64) -> ChoiceParams {
+    let unreported_flows = 20.0;
+    ChoiceParams { has_far_loads: true, unreported_flows, random_fraction, tie_seed, exit_rule }
+}
+
 /// The target counts of the domains and the load on each as a fraction of `SLOTS`.
 #[derive(Debug, Clone, Copy)]
 struct Phase {
@@ -30,16 +43,21 @@
     steps: u64,
 }
 
-/// Domains as single queues, whose hosts see the loads of `report_age_ms` ago.
+/// Domains of like queues, whose hosts see the loads of `report_age_ms` ago.
 struct Replay {
     /// Those of all three domains.
     hosts: Vec<DomainExits>,
     /// `None`: flows leave at a fixed excess of load.
     settings: Option<DomainExit>,
-    in_flight: [f64; 3],
-    history: Vec<[f64; 3]>,
+    /// By domain and target; the slots of a domain are spread over its targets.
+    in_flight: [Vec<f64>; 3],
+    history: Vec<[Vec<f64>; 3]>,
     report_age_ms: u64,
-    far_penalty: [Penalty; 3],
+    unreported_flows: f64,
+    /// The requests per slot that a target holds; it rejects the others.
+    max_load: f64,
+    rejected: usize,
+    far_penalty: Penalty,
     now_ms: u64,
     /// The requests from domain 0, and those of them that left.
     opened: f64,
@@ -53,10 +71,13 @@
         Replay {
             hosts: (0..3 * hosts_per_domain).map(|_| DomainExits::default()).collect(),
             settings,
-            in_flight: [0.0; 3],
+            in_flight: std::array::from_fn(|_| vec![0.0]),
             history: Vec::new(),
             report_age_ms: 1_500,
-            far_penalty: [Penalty::None; 3],
+            unreported_flows: 20.0,
+            max_load: f64::INFINITY,
+            rejected: 0,
+            far_penalty: Penalty::None,
             now_ms: 10_000,
             opened: 0.0,
             left: 0.0,
@@ -70,24 +91,27 @@
         (self.opened, self.left, self.changes, self.worst_wait_ms) = (0.0, 0.0, 0, 0.0);
         for _ in 0..phase.steps {
             self.now_ms += STEP_MS;
-            self.history.push(self.in_flight);
+            self.history.push(self.in_flight.clone());
             let age = (self.report_age_ms / STEP_MS) as usize;
-            let seen = self.history[self.history.len().saturating_sub(age + 1)];
+            let seen = self.history[self.history.len().saturating_sub(age + 1)].clone();
             for domain in 0..3 {
                 let openings = phase.load[domain] * SLOTS as f64 * STEP_MS as f64 / WORK_MS as f64;
                 let openings =
                     openings.floor() as usize + usize::from(rng.random::<f64>() < openings.fract());
                 for _ in 0..openings {
                     let host = domain * per_domain + rng.random_range(0..per_domain);
-                    self.open(rng, domain, host, phase.slots, seen);
+                    self.open(rng, domain, host, phase.slots, &seen);
                 }
             }
-            for domain in 0..3 {
-                let slots = phase.slots[domain] as f64;
-                let done = self.in_flight[domain].min(slots) * STEP_MS as f64 / WORK_MS as f64;
-                self.in_flight[domain] -= done;
+            for (domain, targets) in self.in_flight.iter_mut().enumerate() {
+                let slots = phase.slots[domain] as f64 / targets.len() as f64;
+                let count = targets.len();
+                for (target, in_flight) in targets.iter_mut().enumerate() {
+                    let done = in_flight.min(slots) * speed(target, count);
+                    *in_flight -= done * STEP_MS as f64 / WORK_MS as f64;
+                }
             }
-            let waiting = (self.in_flight[0] - phase.slots[0] as f64).max(0.0);
+            let waiting = (self.in_flight[0].iter().sum::<f64>() - phase.slots[0] as f64).max(0.0);
             let wait_ms = waiting / phase.slots[0].max(1) as f64 * WORK_MS as f64;
             self.worst_wait_ms = self.worst_wait_ms.max(wait_ms);
         }
@@ -99,47 +123,47 @@
         domain: usize,
         host: usize,
         slots: [usize; 3],
-        seen: [f64; 3],
+        seen: &[Vec<f64>; 3],
     ) {
-        let candidates: Vec<Candidate> = (0..3)
-            .filter(|other| slots[*other] > 0)
-            .map(|other| Candidate {
-                index: TargetIndex(other),
-                is_near: other == domain,
-                penalty: if other == domain { Penalty::None } else { self.far_penalty[other] },
-                slots: slots[other] as u16,
-                load: 1.5 * seen[other] / slots[other] as f64,
+        let count = self.in_flight[0].len();
+        let candidates: Vec<Candidate> = (0..3 * count)
+            .filter(|index| slots[index / count] > 0)
+            .map(|index| {
+                let domain_of = index / count;
+                let slots = (slots[domain_of] / count) as u16;
+                let load = 1.5 * seen[domain_of][index % count] / f64::from(slots);
+                let mut candidate = candidate(index, domain_of == domain, slots, load);
+                if !candidate.is_near {
+                    candidate.penalty = self.far_penalty;
+                }
+                candidate
             })
             .collect();
         let exits = &mut self.hosts[host];
         exits.record_bytes(listener(), 1_500);
-        let queue = (seen[domain] / slots[domain].max(1) as f64 - 1.0).max(0.0);
+        let queue = (seen[domain].iter().sum::<f64>() / slots[domain].max(1) as f64 - 1.0).max(0.0);
         let answer_ms = WORK_MS + (queue * WORK_MS as f64) as u64;
         exits.record_answer(listener(), answer_ms, answer_ms);
-        let inputs = ExitInputs {
-            listener: listener(),
-            candidates: &candidates,
-            busy_ratio: 1.0,
-            has_far_loads: true,
-        };
+        let inputs = inputs(&candidates, 1.0);
         let change = self.settings.and_then(|settings| exits.adjust(settings, inputs, self.now_ms));
-        let far_share = exits.share(listener());
+        let exit_rule = match self.settings {
+            Some(_) => exits.rule(listener(), rng.random()),
+            None => ExitRule::FixedExcess,
+        };
         let params = ChoiceParams {
-            has_far_loads: true,
-            unreported_flows: 20.0,
-            random_fraction: rng.random(),
-            tie_seed: rng.random(),
-            exit_rule: match rng.random::<f64>() < far_share {
-                _ if self.settings.is_none() => ExitRule::FixedExcess,
-                true => ExitRule::Leave { far_share },
-                false => ExitRule::Stay { far_share },
-            },
+            unreported_flows: self.unreported_flows,
+            ..params(exit_rule, rng.random(), rng.random())
         };
         let Some(TargetIndex(chosen)) = choose_target(&candidates, params) else { return };
-        self.in_flight[chosen] += 1.0;
+        let in_flight = &mut self.in_flight[chosen / count][chosen % count];
+        let target_slots = (slots[chosen / count] / count) as f64;
+        match *in_flight < self.max_load * target_slots {
+            true => *in_flight += 1.0,
+            false => self.rejected += 1,
+        }
         if domain == 0 {
             self.opened += 1.0;
-            self.left += f64::from(u8::from(chosen != 0));
+            self.left += f64::from(u8::from(chosen / count != 0));
             self.changes += usize::from(change.is_some());
         }
     }
@@ -149,6 +173,14 @@
     }
 }
 
+/// The speed of a target, of which the fastest is twice as fast as the slowest.
+fn speed(target: usize, count: usize) -> f64 {
+    match count {
+        1 => 1.0,
+        _ => 0.67 + 0.67 * target as f64 / (count - 1) as f64,
+    }
+}
+
 /// Runs the `phases` with several numbers of hosts and checks the percentage of flows that leave
 /// domain 0 in the last one; returns the longest wait there.
 fn check(
@@ -204,6 +236,27 @@
     check(Some(COST), &[calm, burst, calm, calm], 0.0..=0.0);
 }
 
+#[test]
+fn full_queues() {
+    let calm = Phase { steps: 500, ..phase(WHOLE, [0.6, 0.4, 0.4]) };
+    let burst = Phase { steps: 600, ..phase(WHOLE, [1.2, 0.4, 0.4]) };
+    for report_age_ms in [600, 1_500] {
+        let [fixed, cost] = [FIXED_EXCESS, Some(COST)].map(|settings| {
+            let rejected = (1..=2).map(|seed| {
+                let mut rng = StdRng::seed_from_u64(seed);
+                let mut replay = Replay::new(30, settings);
+                replay.in_flight = std::array::from_fn(|_| vec![0.0; 60]);
+                (replay.max_load, replay.unreported_flows) = (5.0, 200.0);
+                replay.report_age_ms = report_age_ms;
+                [calm, burst, calm].iter().for_each(|phase| replay.run(&mut rng, *phase));
+                replay.rejected
+            });
+            rejected.sum::<usize>()
+        });
+        assert!(cost <= fixed, "{report_age_ms} ms: {cost} rejected instead of {fixed}");
+    }
+}
+
 #[test]
 fn dear_bytes() {
     let dear = DomainExit { price_us_per_kb: 150_000, ..COST };
@@ -225,7 +278,7 @@
     let short = phase(THIRD_GONE, [0.72, 0.4, 0.4]);
     replay.run(&mut rng, short);
     assert!(replay.left > 0.0);
-    replay.far_penalty = [Penalty::DomainSilent; 3];
+    replay.far_penalty = Penalty::DomainSilent;
     replay.run(&mut rng, short);
     assert_eq!(replay.left, 0.0, "silent domains get nothing");
 }
@@ -258,22 +311,11 @@
 #[test]
 fn without_reports() {
     let mut exits = DomainExits::default();
-    let candidate = |is_near, load| Candidate {
-        index: TargetIndex(usize::from(is_near)),
-        is_near,
-        penalty: Penalty::None,
-        slots: 2,
-        load,
-    };
-    let candidates = [candidate(true, 20.0), candidate(false, 0.0)];
-    let mut inputs = ExitInputs {
-        listener: listener(),
-        candidates: &candidates,
-        busy_ratio: 1.0,
-        has_far_loads: false,
-    };
+    let candidates = [candidate(1, true, 2, 20.0), candidate(0, false, 2, 0.0)];
+    let mut inputs = ExitInputs { has_far_loads: false, ..inputs(&candidates, 1.0) };
     assert_eq!(exits.adjust(COST, inputs, 1_000), None);
-    assert_eq!(exits.share(listener()), 0.0);
+    let stay = ExitRule::Stay { far_share: 0.0, bound: StayBound::Unbounded };
+    assert_eq!(exits.rule(listener(), 0.0), stay);
     inputs.has_far_loads = true;
     let began = exits.adjust(COST, inputs, 1_500);
     assert!(matches!(began, Some(ExitChange::Began(estimate))
@@ -309,39 +351,26 @@
         busy_ratio in prop_oneof![Just(f64::NAN), Just(0.0), -1.0..2.0],
         answer_ms in prop_oneof![Just(0), Just(u64::MAX), 0..10_000_u64],
         bytes: u32,
+        fraction in 0.0..1.0,
     ) {
         let candidates: Vec<Candidate> = loads
             .iter()
             .enumerate()
-            .map(|(index, &(is_near, load, slots))| Candidate {
-                index: TargetIndex(index),
-                is_near,
-                penalty: Penalty::None,
-                slots,
-                load,
-            })
+            .map(|(index, &(is_near, load, slots))| candidate(index, is_near, slots, load))
             .collect();
         let mut exits = DomainExits::default();
         exits.record_bytes(listener(), bytes);
         exits.record_answer(listener(), answer_ms, answer_ms);
         let settings = DomainExit { round_trip_us, price_us_per_kb };
         for now_ms in [0, 1, 500, 10_000, u64::MAX / 2] {
-            let inputs = ExitInputs {
-                listener: listener(),
-                candidates: &candidates,
-                busy_ratio,
-                has_far_loads: true,
+            exits.adjust(settings, inputs(&candidates, busy_ratio), now_ms);
+            let exit_rule = exits.rule(listener(), fraction);
+            let (ExitRule::Stay { far_share, .. } | ExitRule::Leave { far_share, .. }) = exit_rule
+            else {
+                return Err(TestCaseError::fail("no share"));
             };
-            exits.adjust(settings, inputs, now_ms);
-            let far_share = exits.share(listener());
             prop_assert!((0.0..=1.0).contains(&far_share), "{far_share}");
-            let params = ChoiceParams {
-                has_far_loads: true,
-                unreported_flows: 3.0,
-                random_fraction: 0.5,
-                tie_seed: 1,
-                exit_rule: ExitRule::Leave { far_share },
-            };
+            let params = params(exit_rule, 0.5, 1);
             prop_assert_eq!(choose_target(&candidates, params).is_some(), !candidates.is_empty());
         }
     }
