--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -39,6 +39,8 @@
     target_keys: TargetKeys,
     rejections: Rejections,
     members_version: u64,
+    /// The version of the members that were last taken.
+    taken_members_version: Option<u64>,
     /// Whether the last call to the store succeeded; a change is logged.
     is_store_available: bool,
     loads_sent_at_ms: u64,
@@ -76,6 +78,7 @@
             target_keys: TargetKeys::default(),
             rejections: Rejections::new(shared.entries_rejected.clone()),
             members_version: 0,
+            taken_members_version: None,
             is_store_available: true,
             loads_sent_at_ms: 0,
             load_reports_sent: 0,
@@ -307,6 +310,31 @@
         members.filter(move |member| member.state.is_alive() && member.id != me)
     }
 
+    /// The number of hosts alive, with this one.
+    pub(crate) fn host_count(&self) -> usize {
+        self.peers().count() + 1
+    }
+
+    /// The hosts that are alive, sorted by id, and this host, if they have changed since the last
+    /// call.
+    pub(crate) fn take_changed_hosts(&mut self) -> Option<Vec<(HostId, u64)>> {
+        let version = self.membership.version();
+        if self.taken_members_version == Some(version) {
+            return None;
+        }
+        self.taken_members_version = Some(version);
+        let me = self.membership.me();
+        let mut hosts: Vec<(HostId, u64)> =
+            self.peers().chain([me]).map(|member| (member.id, member.domain_seed)).collect();
+        hosts.sort_unstable();
+        Some(hosts)
+    }
+
+    /// Makes the next call of [`Core::take_changed_hosts`] return the hosts again.
+    pub(crate) fn retake_hosts(&mut self) {
+        self.taken_members_version = None;
+    }
+
     fn update_relay_peers(&mut self) {
         if self.members_version == self.membership.version() {
             return;
--- a/crates/edge/src/control_thread.rs
+++ b/crates/edge/src/control_thread.rs
@@ -350,8 +350,11 @@
             let now_ms = clock::now_ms();
             self.detect_pause(now_ms);
             let messages = self.with_core(|core| core.tick(now_ms));
+            let host_count = self.with_core(|core| core.host_count());
+            self.shared.host_count.store(host_count, Ordering::Relaxed);
             self.publish_and_send(messages);
             self.send_loads(now_ms);
+            self.publish_hosts();
             let next = self.with_core(|core| core.relay().role());
             if next != role {
                 role = next;
@@ -365,6 +368,15 @@
         }
     }
 
+    /// Tells the data thread which hosts are alive, if that has changed.
+    fn publish_hosts(&self) {
+        let Some(hosts) = self.with_core(Core::take_changed_hosts) else { return };
+        if self.shared.commands.0.try_send(Command::Members(hosts)).is_err() {
+            // The data thread lags; the next tick tries again.
+            self.with_core(Core::retake_hosts);
+        }
+    }
+
     fn send_loads(&self, now_ms: u64) {
         if self.loads.borrow().is_none() {
             return;
--- a/crates/edge/src/data_thread.rs
+++ b/crates/edge/src/data_thread.rs
@@ -251,6 +251,9 @@
                 Command::Checked { target, verdict, started_at_ms } => {
                     self.dispatcher.on_check(target, verdict, started_at_ms, now_ms);
                 }
+                Command::Members(members) => {
+                    self.dispatcher.on_members(self.shared.me, &members, now_ms);
+                }
                 Command::Explain(key, reply_sender) => {
                     // The operator's connection may be closed by now.
                     let _ = reply_sender.try_send(self.dispatcher.flow_report(&key, now_ms));
@@ -264,6 +267,7 @@
             return;
         }
         self.next_notice_ms = now_ms + NOTICE_INTERVAL_MS;
+        self.dispatcher.set_host_count(self.shared.host_count.load(Ordering::Relaxed));
         if let Some(directory) = self.directory.clone() {
             let view = self.view(&directory, now_ms);
             self.dispatcher.on_tick(view, now_ms);
@@ -287,6 +291,7 @@
             let status = Status {
                 counters: *self.dispatcher.counters(),
                 flows: self.dispatcher.flow_count(),
+                speeds: self.dispatcher.speed_summary(),
             };
             if let Ok(mut shared) = self.shared.status.lock() {
                 *shared = status;
--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -1,6 +1,6 @@
 //! Logs decisions about flows.
 
-use tagged::{Event as Decision, StandingCause};
+use tagged::{Event as Decision, ExitChange, StandingCause};
 use telemetry::{Event, field};
 
 /// Logs `events`, and that `dropped` more were discarded before they could be logged.
@@ -44,6 +44,18 @@
                 field("view_age_ms", view_age_ms),
             ],
         ),
+        Decision::Shortage(shortage) => telemetry::emit(
+            Event::ServiceShortage,
+            &[
+                field("service", format_args!("{:x}", shortage.service_seed)),
+                field("state", if shortage.lasted_ms.is_some() { "ended" } else { "began" }),
+                field("priority", shortage.priority),
+                field("lasted_ms", shortage.lasted_ms.unwrap_or(0)),
+                field("waited", shortage.waited),
+                field("refused", shortage.refused),
+                field("floor_placed", shortage.floor_placed),
+            ],
+        ),
         Decision::Standing { target, standing, cause, failed_openings, stalled_flows } => {
             let (cause, reporter) = match cause {
                 StandingCause::Evidence => ("Evidence", 0),
@@ -65,5 +77,29 @@
                 ],
             );
         }
+        Decision::SetAside { target, is_set_aside, answers, failures } => telemetry::emit(
+            Event::TargetSetAside,
+            &[
+                field("target", format_args!("{:x}", target.0)),
+                field("set_aside", is_set_aside),
+                field("answers", answers),
+                field("failures", failures),
+            ],
+        ),
+        Decision::DomainExit { listener, change } => {
+            let (event, estimate) = match change {
+                ExitChange::Began(estimate) => (Event::DomainExitBegan, estimate),
+                ExitChange::Ended(estimate) => (Event::DomainExitEnded, estimate),
+            };
+            telemetry::emit(
+                event,
+                &[
+                    field("listener", listener),
+                    field("near_wait_us", estimate.near_wait_us),
+                    field("far_wait_us", estimate.far_wait_us),
+                    field("cost_us", estimate.cost_us),
+                ],
+            );
+        }
     }
 }
--- a/crates/edge/src/pages.rs
+++ b/crates/edge/src/pages.rs
@@ -102,6 +102,8 @@
             "view_age_ms": relay.confirmed_at_ms().map(|at_ms| now_ms.saturating_sub(at_ms)),
             "rows": relay.catalog().rows().len(),
             "flows": traffic.flows,
+            "targets_set_aside": traffic.speeds.set_aside,
+            "slowest_relative_speed": traffic.speeds.slowest_relative,
             "counters": counters,
             "members": members,
             "evacuations": evacuations,
@@ -179,6 +181,17 @@
     state.shared.metrics.observe("log_lines_dropped", lines_dropped);
     register_reason_counters(state, "flows_reset", Counters::resets);
     register_reason_counters(state, "packets_dropped", Counters::drops);
+    register_held_openings(state);
+}
+
+fn register_held_openings(state: &State) {
+    let status = state.shared.status.clone();
+    state.shared.metrics.observe("openings_held", move || {
+        let Ok(status) = status.lock() else { return Vec::new() };
+        let held = (0..).zip(status.counters.held());
+        held.map(|(priority, count)| (*count, vec![telemetry::Label::new("priority", priority)]))
+            .collect()
+    });
 }
 
 fn register_reason_counters(
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -4,7 +4,7 @@
     net::UdpSocket,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -14,7 +14,10 @@
 use routing::HostId;
 use settings::name_seed;
 use smol::channel::{Receiver, Sender, bounded};
-use tagged::{CheckVerdict, Counters, DueCheck, Event, FlowKey, FlowReport, HostLoad, LoadUpdate};
+use tagged::{
+    CheckVerdict, Counters, DueCheck, Event, FlowKey, FlowReport, HostLoad, LoadUpdate,
+    SpeedSummary,
+};
 use telemetry::Metrics;
 use wire::PeerKey;
 
@@ -46,15 +49,18 @@
         /// When the check began, by the monotonic clock.
         started_at_ms: u64,
     },
+    /// The hosts that are alive, sorted by id, each with its failure domain; this host included.
+    Members(Vec<(HostId, u64)>),
     /// Reports what is known of a flow, for an operator.
     Explain(FlowKey, Sender<Option<FlowReport>>),
 }
 
-/// The counters and flow count that the data thread publishes.
+/// What the data thread publishes.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Status {
     pub(crate) counters: Counters,
     pub(crate) flows: usize,
+    pub(crate) speeds: SpeedSummary,
 }
 
 /// The state shared by the two threads.
@@ -83,6 +89,8 @@
     pub(crate) pulls_sent: Arc<AtomicU64>,
     /// The number of writes to the store that cannot be used.
     pub(crate) entries_rejected: Arc<AtomicU64>,
+    /// The number of hosts alive, with this one, as the control thread knows it.
+    pub(crate) host_count: AtomicUsize,
     pub(crate) metrics: Metrics,
     is_exiting: AtomicBool,
 }
@@ -109,6 +117,7 @@
             row_bytes_sent: Arc::default(),
             pulls_sent: Arc::default(),
             entries_rejected: Arc::default(),
+            host_count: AtomicUsize::new(1),
             metrics: Metrics::new()?,
             is_exiting: AtomicBool::new(false),
         }))
--- a/crates/tagged/src/counters.rs
+++ b/crates/tagged/src/counters.rs
@@ -18,9 +18,21 @@
     Suspected,
     /// Times a target was declared dead.
     Dead,
+    /// Times a target was set aside because of how it answers.
+    SetAside,
+    /// Openings assigned to a target of another failure domain.
+    LeftDomain,
+    /// Bytes of callers and targets on flows to targets of other failure domains; only counted if
+    /// the cost of leaving decides.
+    LeftDomainBytes,
+    /// Openings assigned to a cold target whose openings are limited.
+    OpenedCold,
 }
 
-const COUNTER_COUNT: usize = Counter::Dead as usize + 1;
+/// The number of priorities that are counted one by one; less urgent ones count as the last.
+const PRIORITY_COUNT: usize = 8;
+
+const COUNTER_COUNT: usize = Counter::OpenedCold as usize + 1;
 
 /// The counters of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -28,6 +40,7 @@
     counts: [u64; COUNTER_COUNT],
     resets: [u64; Reason::ALL.len()],
     drops: [u64; Reason::ALL.len()],
+    held: [u64; PRIORITY_COUNT],
 }
 
 impl Counters {
@@ -39,11 +52,20 @@
         (Counter::Retried, "openings_retried"),
         (Counter::Suspected, "targets_suspected"),
         (Counter::Dead, "targets_dead"),
+        (Counter::SetAside, "targets_set_aside"),
+        (Counter::LeftDomain, "flows_left_domain"),
+        (Counter::LeftDomainBytes, "bytes_left_domain"),
+        (Counter::OpenedCold, "flows_opened_cold"),
     ];
 
     /// Increments `counter`.
     pub fn count(&mut self, counter: Counter) {
-        self.counts[counter as usize] += 1;
+        self.add(counter, 1);
+    }
+
+    /// Increases `counter` by `amount`.
+    pub fn add(&mut self, counter: Counter, amount: u64) {
+        self.counts[counter as usize] += amount;
     }
 
     /// Counts a flow that was reset.
@@ -56,6 +78,17 @@
         self.drops[reason.index()] += 1;
     }
 
+    /// Counts an opening that was held back for more urgent ones.
+    pub fn count_held(&mut self, priority: u8) {
+        self.held[usize::from(priority).min(PRIORITY_COUNT - 1)] += 1;
+    }
+
+    /// How many openings of each priority were held back; those of the last one and of less urgent
+    /// ones are counted together.
+    pub fn held(&self) -> &[u64] {
+        &self.held
+    }
+
     /// The value of `counter`.
     pub fn get(&self, counter: Counter) -> u64 {
         self.counts[counter as usize]
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -3,8 +3,10 @@
 use catalog::{Listener, TargetId, TargetIndex};
 use rand::RngExt;
 
+use super::loads::OVERDUE_WEIGHT;
 use crate::{
-    Admission, Candidate, ChoiceParams, Dispatcher, Penalty, Reason, Standing, View, choose_target,
+    Admission, Candidate, ChoiceParams, Dispatcher, Event, ExitInputs, ExitRule, Penalty, Reason,
+    Standing, View, choose_target, precedence::Room,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
@@ -69,6 +71,7 @@
             unreported_flows: self.unreported_flows(service_seed, now_ms),
             random_fraction: self.rng.random(),
             tie_seed: self.rng.random(),
+            exit_rule: ExitRule::FixedExcess,
         };
         self.record_opening(service_seed, now_ms);
         let tried_domains: Vec<u64> = tried
@@ -77,30 +80,35 @@
             .map(|index| view.directory.target(index).domain_seed)
             .collect();
         let silent_domains = self.silent_domains(view, now_ms);
-        let candidates: Vec<Candidate> = view
-            .directory
-            .open_targets(service_seed)
-            .map(|index| {
-                let target = view.directory.target(index);
-                let is_near = target.domain_seed == self.config.domain_seed;
-                let penalty = match self.health.standing(target.id) {
-                    _ if tried.contains(&target.id) => Penalty::Tried,
-                    Standing::Dead => Penalty::Dead,
-                    Standing::Suspect => Penalty::Suspect,
-                    Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
-                    Standing::Good if silent_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainSilent
-                    }
-                    Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
-                        Penalty::DomainTried
-                    }
-                    Standing::Good => Penalty::None,
-                };
-                let load = self.load(target.id, target.slots) / self.speeds.relative(target.id);
-                Candidate { index, is_near, penalty, slots: target.slots, load }
-            })
-            .collect();
-        match self.precedence.decide(listener, &candidates, now_ms) {
+        let mut room = Room::new(self.flows_max(view, service_seed));
+        let mut candidates = Vec::new();
+        for index in view.directory.open_targets(service_seed) {
+            let target = view.directory.target(index);
+            let is_near = target.domain_seed == self.config.domain_seed;
+            let penalty = match self.health.standing(target.id) {
+                _ if tried.contains(&target.id) => Penalty::Tried,
+                Standing::Dead => Penalty::Dead,
+                Standing::Suspect => Penalty::Suspect,
+                Standing::Good if self.speeds.is_set_aside(target.id) => Penalty::Suspect,
+                Standing::Good if silent_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainSilent
+                }
+                Standing::Good if !is_near && tried_domains.contains(&target.domain_seed) => {
+                    Penalty::DomainTried
+                }
+                Standing::Good => Penalty::None,
+            };
+            let usage = self.usage(target.id);
+            if !room.add_flows(usage.flows) {
+                continue;
+            }
+            if penalty < Penalty::Suspect && (is_near || params.has_far_loads) {
+                room.add_slots(target.slots, usage.live_busy(), usage.own_busy);
+            }
+            let load = usage.load(target.slots) / self.speeds.relative(target.id);
+            candidates.push(Candidate { index, is_near, penalty, slots: target.slots, load });
+        }
+        match self.admit(listener, service_seed, &room, tried, now_ms) {
             Admission::Place => {}
             Admission::Wait => return Err(Unplaced::Waiting(Reason::Crowded)),
             Admission::Refuse => return Err(Unplaced::Refused(Reason::Crowded)),
@@ -109,10 +117,88 @@
             return Err(no_target(view, listener));
         }
         let mut candidates = self.apply_slow_start(view, candidates, now_ms);
-        candidates.retain(|candidate| {
-            self.warmups.may_open(view.directory.target(candidate.index).id, now_ms)
-        });
-        choose_target(&candidates, params).ok_or(Unplaced::Waiting(Reason::Cold))
+        self.hold_back_cold(view, &mut candidates, params.tie_seed, now_ms)?;
+        let exit_rule = self.exit_rule(view, service_seed, listener, &candidates, now_ms);
+        choose_target(&candidates, ChoiceParams { exit_rule, ..params })
+            .ok_or(Unplaced::Waiting(Reason::Cold))
+    }
+
+    /// Removes the candidates to which this host may not send an opening now, since all hosts together
+    /// are limited. `opening_seed` is drawn for each opening.
+    fn hold_back_cold(
+        &mut self,
+        view: View<'_>,
+        candidates: &mut Vec<Candidate>,
+        opening_seed: u64,
+        now_ms: u64,
+    ) -> Result<(), Unplaced> {
+        let id = |candidate: &Candidate| view.directory.target(candidate.index).id;
+        let is_unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
+        let mut held_back: Vec<Candidate> = candidates
+            .extract_if(.., |it| !self.warmups.may_open(id(it), opening_seed, now_ms))
+            .filter(|candidate| !is_unlikely(candidate))
+            .collect();
+        // A cold target later is better than a dead one now.
+        if held_back.is_empty() || !candidates.iter().all(is_unlikely) {
+            return Ok(());
+        }
+        if held_back.iter().any(|candidate| !self.warmups.is_limited(id(candidate), now_ms)) {
+            // Nothing else is left, so targets whose share only grows take what comes.
+            held_back.retain(|candidate| !self.warmups.is_limited(id(candidate), now_ms));
+            *candidates = held_back;
+            return Ok(());
+        }
+        match held_back.iter().any(|held| self.warmups.may_open_soon(id(held), now_ms)) {
+            true => Err(Unplaced::Waiting(Reason::Cold)),
+            false => Err(Unplaced::Refused(Reason::Cold)),
+        }
+    }
+
+    /// Draws whether a new flow leaves the failure domain.
+    fn exit_rule(
+        &mut self,
+        view: View<'_>,
+        service_seed: u64,
+        listener: &Listener,
+        candidates: &[Candidate],
+        now_ms: u64,
+    ) -> ExitRule {
+        let Some(settings) = self.config.domain_exit else { return ExitRule::FixedExcess };
+        let busy_ratio = match self.domain_exits.busy_ratio(service_seed, now_ms) {
+            Some(busy_ratio) => busy_ratio,
+            None => {
+                let busy_ratio = self.busy_ratio(view, candidates);
+                self.domain_exits.set_busy_ratio(service_seed, busy_ratio, now_ms)
+            }
+        };
+        let inputs = ExitInputs {
+            listener: listener.address,
+            candidates,
+            busy_ratio,
+            has_far_loads: self.reported.has_far_loads(),
+        };
+        if let Some(change) = self.domain_exits.adjust(settings, inputs, now_ms) {
+            self.push_event(Event::DomainExit { listener: listener.address, change });
+        }
+        let far_share = self.domain_exits.share(listener.address);
+        match self.rng.random::<f64>() < far_share {
+            true => ExitRule::Leave { far_share },
+            false => ExitRule::Stay { far_share },
+        }
+    }
+
+    /// The flows with a request in flight, as a fraction of all flows of the candidates.
+    fn busy_ratio(&self, view: View<'_>, candidates: &[Candidate]) -> f64 {
+        let (mut flows, mut busy) = (0, 0);
+        for candidate in candidates {
+            let target = view.directory.target(candidate.index).id;
+            let own_load = self.own_load.get(&target).copied().unwrap_or_default();
+            let reported = self.reported.get(target);
+            flows += own_load.flows + reported.flows;
+            // An overdue request counts several times.
+            busy += (own_load.busy + reported.busy).min(own_load.flows + reported.flows);
+        }
+        f64::from(busy) / f64::from(flows.max(1))
     }
 
     /// Estimates how many flows other hosts of this failure domain have opened to a service since
@@ -202,13 +288,65 @@
         candidates
     }
 
-    /// The weighted flows per slot of `target`, over all hosts.
-    fn load(&self, target: TargetId, slots: u16) -> f64 {
-        let own_load = self.own_load.get(&target).copied().unwrap_or_default();
+    /// Whether an opening is placed now. One that was placed before goes on to another target.
+    fn admit(
+        &mut self,
+        listener: &Listener,
+        service_seed: u64,
+        room: &Room,
+        tried: &[TargetId],
+        now_ms: u64,
+    ) -> Admission {
+        if !self.config.orders_by_priority || (!tried.is_empty() && !room.is_capped()) {
+            return Admission::Place;
+        }
+        let evidence = self.reported.evidence(self.host_count, now_ms);
+        let admission = self.precedence.decide(listener, service_seed, room, evidence, now_ms);
+        if admission != Admission::Place {
+            self.counters.count_held(listener.priority);
+        }
+        admission
+    }
+
+    /// The number of flows that each target of a service holds.
+    fn flows_max(&self, view: View<'_>, service_seed: u64) -> u32 {
+        let service = view.directory.find_service(service_seed);
+        let service = service.filter(|_| self.config.orders_by_priority);
+        service.map_or(u32::MAX, |service| service.flows_max)
+    }
+
+    fn usage(&self, target: TargetId) -> Usage {
+        let own = self.own_load.get(&target).copied().unwrap_or_default();
         let reported = self.reported.get(target);
-        let flows = f64::from(own_load.flows + reported.flows);
-        let busy = f64::from(own_load.weighted_busy() + reported.busy);
-        (flows + BUSY_WEIGHT * busy) / f64::from(slots.max(1))
+        Usage {
+            flows: own.flows.saturating_add(reported.flows),
+            busy: own.weighted_busy().saturating_add(reported.busy),
+            own_busy: own.busy.saturating_sub(own.overdue),
+        }
+    }
+}
+
+/// The use of a target by all hosts.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    flows: u32,
+    /// The requests in flight, with extra weight for overdue ones.
+    busy: u32,
+    /// The requests in flight that this host sees, without overdue ones.
+    own_busy: u32,
+}
+
+impl Usage {
+    /// The requests in flight without overdue ones, whose callers have mostly left: a caller that
+    /// gives up sends nothing, so its request counts until the flow is idle.
+    fn live_busy(&self) -> u32 {
+        (self.busy % OVERDUE_WEIGHT).saturating_sub(self.busy / OVERDUE_WEIGHT)
+    }
+
+    /// The weighted flows per slot.
+    fn load(&self, slots: u16) -> f64 {
+        let weighted = f64::from(self.flows) + BUSY_WEIGHT * f64::from(self.busy);
+        weighted / f64::from(slots.max(1))
     }
 }
 
--- a/crates/tagged/src/dispatcher/targets.rs
+++ b/crates/tagged/src/dispatcher/targets.rs
@@ -2,6 +2,7 @@
 
 use catalog::{Directory, Presence, TargetId, TargetIndex};
 use rand::seq::IndexedRandom;
+use routing::HostId;
 
 use super::KnownTarget;
 use crate::{
@@ -28,7 +29,13 @@
                 self.reset_flows(target, Reason::TargetGone);
             }
         }
-        self.warmups.on_directory(directory, now_ms);
+        self.warmups.on_directory(directory, self.config.warmup_limit, now_ms);
+    }
+
+    /// Applies the hosts that this host knows, sorted by id, each with its failure domain. They
+    /// include this host, `me`.
+    pub fn on_members(&mut self, me: HostId, members: &[(HostId, u64)], now_ms: u64) {
+        self.warmups.on_members(me, members, now_ms);
     }
 
     /// Notes the targets of `directory`, and forgets the health of those that have started again.
@@ -39,6 +46,7 @@
                 id: target.id,
                 domain_seed: target.domain_seed,
                 started_at_ms: target.started_at_ms,
+                slots: target.slots,
                 is_listed: directory.presence(index) == Presence::Listed,
             }
         });
@@ -47,6 +55,7 @@
             let found = self.known.binary_search_by_key(&earlier.id, |target| target.id);
             if found.is_ok_and(|index| self.known[index].started_at_ms != earlier.started_at_ms) {
                 self.health.forget(earlier.id, now_ms);
+                self.speeds.forget(earlier.id, now_ms);
             }
         }
     }
--- a/crates/tagged/src/event.rs
+++ b/crates/tagged/src/event.rs
@@ -5,7 +5,7 @@
 use catalog::{RequestKind, Revision, TargetId};
 use routing::HostId;
 
-use crate::{FlowKey, Standing};
+use crate::{ExitChange, FlowKey, Shortage, Standing};
 
 /// Why a flow was reset or a packet dropped. The discriminants are result codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,6 +108,8 @@
         /// The age of the view, in milliseconds.
         view_age_ms: u64,
     },
+    /// A service began to have too little room at this host, or has room again.
+    Shortage(Shortage),
     /// A target's standing changed.
     Standing {
         /// The target.
@@ -121,6 +123,24 @@
         /// The stalled flows counted against it.
         stalled_flows: u32,
     },
+    /// A target was set aside because of how it answers, or was taken back.
+    SetAside {
+        /// The target.
+        target: TargetId,
+        /// Whether it gets no new flows from now on.
+        is_set_aside: bool,
+        /// The requests that it answered recently, over all hosts.
+        answers: u64,
+        /// The requests that it answered much too fast or not in time, over all hosts.
+        failures: u64,
+    },
+    /// Flows to a listener begin or cease to leave the failure domain.
+    DomainExit {
+        /// The listener's address.
+        listener: SocketAddrV4,
+        /// The change.
+        change: ExitChange,
+    },
 }
 
 /// The time from a request to the first acknowledgement of its answer, as seen by this host.
--- a/crates/tagged/src/lib.rs
+++ b/crates/tagged/src/lib.rs
@@ -15,11 +15,13 @@
 mod config;
 mod counters;
 mod dispatcher;
+mod domain_exit;
 mod event;
 mod flows;
 mod health;
 mod load;
 mod openings;
+mod permits;
 mod precedence;
 mod segment;
 mod speed;
@@ -27,14 +29,15 @@
 mod warmup;
 
 pub use crate::{
-    choice::{Candidate, ChoiceParams, Penalty, choose_target},
+    choice::{Candidate, ChoiceParams, ExitRule, Penalty, choose_target},
     config::{Config, DomainExit, WarmupLimit},
     counters::{Counter, Counters},
     dispatcher::{Dispatcher, LoadUpdate, View},
+    domain_exit::{DomainExits, ExitChange, ExitEstimate, ExitInputs},
     event::{Event, FlowReport, LatencySample, Reason, StandingCause},
     health::{CheckOutcome, DueCheck, Health, Standing, Verdict as CheckVerdict, judge_check},
-    load::{HostLoad, ReportedLoads, TargetLoad},
-    precedence::Admission,
+    load::{Evidence, HostLoad, ReportedLoads, TargetLoad},
+    precedence::{Admission, Shortage},
     segment::{FlowKey, Segment, SegmentKind, Verdict},
-    speed::AnswerStats,
+    speed::{AnswerStats, SpeedSummary},
 };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -58,11 +58,19 @@
     TargetChecked = 1404,
     /// The log of decisions is incomplete: some were not logged.
     DecisionsLeftOut = 1405,
+    /// A service began to have too little room, or has room again.
+    ServiceShortage = 1406,
+    /// A target was set aside because of how it answers, or was taken back.
+    TargetSetAside = 1407,
+    /// Flows to a listener begin to leave the failure domain.
+    DomainExitBegan = 1421,
+    /// Flows to a listener no longer leave the failure domain.
+    DomainExitEnded = 1422,
 }
 
 impl Event {
     /// Every event, in numeric order.
-    pub const ALL: [Event; 26] = [
+    pub const ALL: [Event; 30] = [
         Event::Started,
         Event::Ready,
         Event::Stopping,
@@ -89,6 +97,10 @@
         Event::TargetStanding,
         Event::TargetChecked,
         Event::DecisionsLeftOut,
+        Event::ServiceShortage,
+        Event::TargetSetAside,
+        Event::DomainExitBegan,
+        Event::DomainExitEnded,
     ];
 
     /// The stable number of this event.
@@ -125,6 +137,10 @@
             Event::TargetStanding => "target_standing",
             Event::TargetChecked => "target_checked",
             Event::DecisionsLeftOut => "decisions_left_out",
+            Event::ServiceShortage => "service_shortage",
+            Event::TargetSetAside => "target_set_aside",
+            Event::DomainExitBegan => "domain_exit_began",
+            Event::DomainExitEnded => "domain_exit_ended",
         }
     }
 
