Test evacuations with a store that loses its history

Cause: the simulated hosts always read all that the store holds, so no test heard the removal of an evacuation as such, or lost one.

Change: hosts of the simulated fleet can follow the store's changes, and list it again once the history is lost. lost_history takes an evacuation back, then starts one and ends one in the gap.

--- a/crates/relay/tests/evacuations.rs
+++ b/crates/relay/tests/evacuations.rs
@@ -139,6 +139,32 @@
     }
 }
 
+#[test]
+fn lost_history() {
+    let mut fleet = evacuated_fleet();
+    fleet.follows_changes = true;
+    // A removal that is heard as such ends the evacuation at once.
+    fleet.end_evacuation(1);
+    fleet.run(IN_FORCE_MS, |_| {});
+    check(&fleet, &[]);
+    for domain_seed in [1, 2] {
+        fleet.evacuate(domain_seed);
+        fleet.run(IN_FORCE_MS, |_| {});
+    }
+    // What happens while the history is lost is known from the next listing.
+    fleet.evacuate(3);
+    fleet.end_evacuation(2);
+    fleet.lose_history();
+    fleet.run(IN_FORCE_MS, |fleet| {
+        (0..HOSTS).for_each(|index| assert!(fleet.evacuated(index).contains(&1)));
+    });
+    (0..HOSTS).for_each(|index| assert!(fleet.evacuated(index).contains(&3), "host {index}"));
+    fleet.run(2 * RECOVERY_MS, |fleet| {
+        (0..HOSTS).for_each(|index| assert!(fleet.evacuated(index).contains(&1)));
+    });
+    check(&fleet, &[1, 3]);
+}
+
 /// A change of many targets does not delay an evacuation.
 #[test]
 fn large_change() {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -71,6 +71,8 @@
     relay: Relay,
     next_read_ms: u64,
     is_paused: bool,
+    /// Whether the next read of the store is a full listing even if the host follows its changes.
+    needs_listing: bool,
     /// Whether the host does not reach the store.
     has_lost_store: bool,
     /// The host's link in each direction; without one, messages take a random time.
@@ -97,6 +99,9 @@
     /// The time that messages wait in the receive queue of each host, in milliseconds.
     pub queue_ms: Vec<u64>,
     pub store: Store,
+    /// Whether hosts read what has changed in the store rather than all that it holds. Of removals,
+    /// only those of evacuations are heard.
+    pub follows_changes: bool,
     /// The number of hosts, the first that call from now on, that the store rejects while it serves the
     /// others, and those that have called.
     pub rejected_max: usize,
@@ -147,6 +152,7 @@
                     relay,
                     next_read_ms: 0,
                     is_paused: false,
+                    needs_listing: false,
                     has_lost_store: false,
                     links: None,
                 }
@@ -161,6 +167,7 @@
             rng: StdRng::seed_from_u64(seed),
             loss_percent: 0,
             store: Store::Up,
+            follows_changes: false,
             rejected_max: 0,
             rejected: Vec::new(),
             era: 1,
@@ -313,9 +320,12 @@
             host.next_read_ms = now_ms + READ_MS;
             self.reads += 1;
             let is_served = self.is_served(index);
-            let relay = &mut self.hosts[index].relay;
+            let host = &mut self.hosts[index];
+            let relay = &mut host.relay;
             if is_served {
-                let update = self.contents.read(self.era, relay.catalog(), now_ms);
+                let is_listing = std::mem::take(&mut host.needs_listing) || !self.follows_changes;
+                let read = if is_listing { Contents::read } else { Contents::read_changes };
+                let update = read(&self.contents, self.era, relay.catalog(), now_ms);
                 out.extend(relay.on_store_update(update, now_ms));
             } else {
                 relay.on_store_failure(now_ms);
--- a/crates/relay/tests/support/store.rs
+++ b/crates/relay/tests/support/store.rs
@@ -18,6 +18,8 @@
     revision: u64,
     /// The announcements, each with the number of its revision and its edition.
     targets: Vec<(u64, u64, Record)>,
+    /// The removals of evacuations, each with the number of its revision.
+    removals: Vec<(u64, Key)>,
     /// The settings, with the number of their revision and their version.
     settings: Option<(u64, u64, Vec<Record>)>,
 }
@@ -60,6 +62,19 @@
             valid_at_ms: now_ms,
         }
     }
+
+    /// What has changed in the store since the revision of `catalog`.
+    pub(super) fn read_changes(&self, era: u64, catalog: &Catalog, now_ms: u64) -> StoreUpdate {
+        let after = catalog.revision();
+        let mut update = self.read(era, catalog, now_ms);
+        update.rows.retain(|row| row.revision > after);
+        update.settings.retain(|settings| settings.revision > after);
+        let removals = self.removals.iter().filter(|entry| !self.lists(entry.1));
+        update.removed =
+            removals.map(|(number, key)| (Revision::new(era, *number), *key)).collect();
+        update.removed.retain(|entry| entry.0 > after);
+        update
+    }
 }
 
 /// What targets and the operator write, and what the store answers.
@@ -144,6 +159,15 @@
         for contents in [&mut self.contents, &mut self.written] {
             contents.targets.retain(|entry| entry.2.key() != Key::Evacuation(domain_seed));
         }
+        self.contents.removals.push((self.contents.revision, Key::Evacuation(domain_seed)));
+    }
+
+    /// The store discards its history, so that the next read of each host is a full listing.
+    pub fn lose_history(&mut self) {
+        for host in &mut self.hosts {
+            host.needs_listing = true;
+            host.relay.on_history_lost();
+        }
     }
 
     /// Removes the announcement of a target.
