--- a/crates/wagtailstalld/tests/early_signals.rs
+++ b/crates/wagtailstalld/tests/early_signals.rs
@@ -11,7 +11,7 @@
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let folder = folder.join(format!("early_signals-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
-    let layout = Layout { zones: 1, hosts: 1, targets: 1, callers: 0 };
+    let layout = Layout { zones: 1, hosts: 1, targets: 1, callers: 0, ..Layout::default() };
     let mut bed = Testbed::start(program, &folder, layout).expect("the bed starts");
     for _ in 0..STARTS {
         bed.kill_host(0).expect("the host ends");
--- a/crates/wagtailstalld/tests/queued_copy.rs
+++ b/crates/wagtailstalld/tests/queued_copy.rs
@@ -38,7 +38,7 @@
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let folder = folder.join(format!("queued_copy-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
-    let layout = Layout { zones: 1, hosts: 1, targets: 3, callers: 0 };
+    let layout = Layout { zones: 1, hosts: 1, targets: 3, callers: 0, ..Layout::default() };
     let mut bed = Testbed::start(program, &folder, layout).expect("the bed starts");
     let targets = answering_targets(&mut bed, 250);
     assert_eq!(targets.len(), 1, "targets {targets:?} answered; the flow is open at the first");
--- a/crates/wagtailstalld/tests/quick_removal.rs
+++ b/crates/wagtailstalld/tests/quick_removal.rs
@@ -20,7 +20,7 @@
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let folder = folder.join(format!("quick_removal-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
-    let layout = Layout { zones: 1, hosts: 1, targets: 2, callers: 0 };
+    let layout = Layout { zones: 1, hosts: 1, targets: 2, callers: 0, ..Layout::default() };
     let mut bed = Testbed::start(program, &folder, layout).expect("the bed starts");
     thread::sleep(Duration::from_millis(5_000));
     bed.set_store_mode(StoreMode::Silent);
--- a/crates/wagtailstalld/tests/restored_store.rs
+++ b/crates/wagtailstalld/tests/restored_store.rs
@@ -21,7 +21,7 @@
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let folder = folder.join(format!("{name}-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_wagtailstalld"));
-    let layout = Layout { zones: 2, hosts: HOSTS / 2, targets: 2, callers };
+    let layout = Layout { zones: 2, hosts: HOSTS / 2, targets: 2, callers, ..Layout::default() };
     let bed = Testbed::start(program, &folder, layout).expect("the bed starts");
     sleep(5_000);
     bed
--- a/crates/wagtailstalld/tests/tagged_soak.rs
+++ b/crates/wagtailstalld/tests/tagged_soak.rs
@@ -19,19 +19,30 @@
     );
 }
 
+/// The faults and callers before zones could be evacuated.
+fn check_plain(seed: u64, duration_s: u64, has_returns: bool) {
+    let duration = Duration::from_secs(duration_s);
+    check(SoakConfig { seed, duration, has_returns, has_evacuations: false, listeners: 1 });
+}
+
 /// Runs the faults of a seed that failed before the store could return from copies.
 fn check_seed(seed: u64) {
-    check(SoakConfig { seed, duration: Duration::from_secs(12), has_returns: false });
+    check_plain(seed, 12, false);
 }
 
 #[test]
 fn short_run() {
-    check(SoakConfig { seed: 1, duration: Duration::from_secs(8), has_returns: false });
+    check_plain(1, 8, false);
 }
 
 #[test]
 fn short_run_with_returns() {
-    check(SoakConfig { seed: 2, duration: Duration::from_secs(15), has_returns: true });
+    check_plain(2, 15, true);
+}
+
+#[test]
+fn short_run_with_evacuations() {
+    check(SoakConfig { seed: 3, ..SoakConfig::default() });
 }
 
 /// The test bed announced a leaving target as ready again after an outage.
@@ -79,12 +90,12 @@
 /// accepted.
 #[test]
 fn seed_147() {
-    check(SoakConfig { seed: 147, duration: Duration::from_secs(12), has_returns: true });
+    check_plain(147, 12, true);
 }
 
 /// A leaving target received an opening: all hosts had just started, and none read its announcement
 /// before the store stopped answering 1.4 s later.
 #[test]
 fn seed_301() {
-    check(SoakConfig { seed: 301, duration: Duration::from_secs(12), has_returns: true });
+    check_plain(301, 12, true);
 }
