Count targets as cold for 3 s after an evacuation was lifted

Cause: the news that an evacuation is lifted may reach a host before the row of a target that became cold just before. Until the row came, the host opened flows to it without a limit.

Change: for 3 s after a directory no longer evacuates a failure domain, its targets of services with a rate count as cold, whatever their rows tell, unless these tell a longer warm-up. Their share then grows as after a warm-up. Hosts whose first view comes after the lifting cannot know of it. Without a rate nothing changes.

--- a/crates/tagged/src/warmup.rs
+++ b/crates/tagged/src/warmup.rs
@@ -27,6 +27,10 @@
 /// between load reports.
 const RAMP_MS: u64 = 5_000;
 
+/// How long the targets of a failure domain count as cold after its evacuation was lifted, in
+/// milliseconds: a few intervals between announcements, in which those that became cold say so.
+const LIFTED_MS: u64 = 3_000;
+
 /// How long a caller repeats an opening, in milliseconds.
 const PATIENCE_MS: u64 = 600;
 
@@ -45,6 +49,8 @@
     started_at_ms: u64,
     domain_seed: u64,
     ends_at_ms: u64,
+    /// Until when the target counts as cold even if its row tells no warm-up.
+    presumed_until_ms: u64,
     /// The number of permits of all hosts.
     permits: u64,
     /// The permits of this host, and the version of the members by which they were dealt.
@@ -81,6 +87,8 @@
 pub(crate) struct Warmups {
     warmups: HashMap<TargetId, Warmup>,
     limited: HashMap<TargetId, LimitedWarmup>,
+    /// The failure domains that the last directory evacuates, sorted.
+    evacuated: Vec<u64>,
     members: Members,
 }
 
@@ -100,14 +108,21 @@
         }
         match limit {
             Some(limit) => self.update_limited(directory, limit, now_ms),
-            None => self.limited.clear(),
+            None => {
+                self.limited.clear();
+                self.evacuated.clear();
+            }
         }
     }
 
     /// Applies the warm-ups that rows tell which are new to this host. The time that is left counts
     /// from the receipt of a row, which is not before its write, so a target never counts as warm
-    /// too early.
+    /// too early. The news that an evacuation is lifted may overtake such rows, so the targets of
+    /// its failure domain count as cold for a while.
     fn update_limited(&mut self, directory: &Directory, limit: WarmupLimit, now_ms: u64) {
+        let evacuations = directory.evacuations().iter();
+        let evacuated = evacuations.map(|evacuation| evacuation.domain_seed).collect();
+        let lifted = std::mem::replace(&mut self.evacuated, evacuated);
         self.limited.retain(|target, warmup| {
             let index = directory.find_target(*target);
             let is_told = index.is_some_and(|index| directory.target(index).warmup_ms > 0);
@@ -116,7 +131,9 @@
         });
         for (target, edition) in directory.targets_with_editions() {
             let known = self.limited.get_mut(&target.id);
-            if known.is_none() && target.warmup_ms == 0 {
+            let is_lifted = lifted.binary_search(&target.domain_seed).is_ok()
+                && !directory.is_evacuated(target.domain_seed);
+            if known.is_none() && target.warmup_ms == 0 && !is_lifted {
                 continue;
             }
             let service = directory.find_service(target.service_seed);
@@ -126,6 +143,7 @@
             };
             let permits = limit.openings_per_second(per_ks) / SIDES;
             let ends_at_ms = now_ms + u64::from(target.warmup_ms);
+            let presumed_until_ms = if is_lifted { now_ms + LIFTED_MS } else { 0 };
             let Some(warmup) = known else {
                 self.limited.insert(
                     target.id,
@@ -133,7 +151,8 @@
                         edition,
                         started_at_ms: target.started_at_ms,
                         domain_seed: target.domain_seed,
-                        ends_at_ms,
+                        ends_at_ms: ends_at_ms.max(presumed_until_ms),
+                        presumed_until_ms,
                         permits,
                         held: None,
                         openings_ms: VecDeque::new(),
@@ -145,15 +164,18 @@
                 warmup.held = None;
             }
             warmup.permits = permits;
+            warmup.presumed_until_ms = warmup.presumed_until_ms.max(presumed_until_ms);
+            warmup.ends_at_ms = warmup.ends_at_ms.max(presumed_until_ms);
             if warmup.edition == edition && warmup.started_at_ms == target.started_at_ms {
                 continue;
             }
             warmup.started_at_ms = target.started_at_ms;
             warmup.edition = edition;
-            warmup.ends_at_ms = match target.warmup_ms {
+            let told_end_ms = match target.warmup_ms {
                 0 => warmup.ends_at_ms.min(now_ms),
                 _ => ends_at_ms,
             };
+            warmup.ends_at_ms = told_end_ms.max(warmup.presumed_until_ms);
         }
     }
 
--- a/crates/tagged/tests/cold_permits.rs
+++ b/crates/tagged/tests/cold_permits.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use catalog::{Record, Revision, Row, Service};
+use catalog::{Evacuation, Record, Revision, Row, Service};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use routing::HostId;
 use support::{FAR, Host, NEAR, SERVICE, opening, rows};
@@ -231,6 +231,62 @@
     assert!(after > LIMIT, "{after} in the second after the share has grown");
 }
 
+fn evacuation(domain_seed: u64) -> Row {
+    let evacuation = Evacuation { domain_seed, domain: String::new() };
+    Row::written(Revision::new(1, 1), 1, Record::Evacuation(evacuation))
+}
+
+#[test]
+fn lifted_before_cold() {
+    // Hosts hear that an evacuation is lifted before they hear that its targets became cold, and
+    // meanwhile get an announcement from before.
+    let check = |count, seed| {
+        let mut fleet = Fleet::new(count, seed);
+        fleet.set_members(|_, _| true);
+        for host in &mut fleet.hosts {
+            host.set_rows(
+                warmup_rows(0, 1, Some(0)).into_iter().chain([evacuation(NEAR)]).collect(),
+            );
+            host.now_ms = COLD_AT_MS;
+        }
+        fleet.set_rows(0, 1);
+        fleet.run_until(COLD_AT_MS + 770);
+        fleet.set_rows(0, 2);
+        fleet.run_until(COLD_AT_MS + 1_540);
+        fleet.set_rows(WARMUP_MS, 3);
+        fleet.run_until(COLD_AT_MS + u64::from(WARMUP_MS));
+        let (most, fewest) = fleet.extremes();
+        assert!(most <= LIMIT && fewest > 0, "{most} in a second, {fewest} in all; {count} hosts");
+    };
+    [30, 145, 300].into_iter().for_each(|count| (1..=2).for_each(|seed| check(count, seed)));
+}
+
+#[test]
+fn lifted_and_warm() {
+    // The share of targets that stayed warm grows soon after the evacuation; without a rate, they
+    // take flows at once.
+    let near_share = |rate_per_ks, from_ms: u64| {
+        let mut fleet = Fleet::new(30, 1);
+        fleet.set_members(|_, _| true);
+        for host in &mut fleet.hosts {
+            let rows = warmup_rows(0, 1, rate_per_ks);
+            host.set_rows(rows.clone().into_iter().chain([evacuation(NEAR)]).collect());
+            host.now_ms = COLD_AT_MS;
+            host.set_rows(rows);
+        }
+        fleet.run_until(COLD_AT_MS + from_ms + 1_000);
+        let in_time = |at_ms: &&u64| **at_ms > COLD_AT_MS + from_ms;
+        let count = |targets: &[Vec<u64>]| targets.iter().flatten().filter(in_time).count();
+        count(&fleet.openings_ms[..COLD_TARGETS as usize]) as f64 / count(&fleet.openings_ms) as f64
+    };
+    for (rate_per_ks, from_ms, is_near) in
+        [(Some(0), 0, false), (Some(0), 8_000, true), (None, 0, true)]
+    {
+        let share = near_share(rate_per_ks, from_ms);
+        assert_eq!(share > 0.9, is_near, "{share} from {from_ms}, rate {rate_per_ks:?}");
+    }
+}
+
 #[test]
 fn only_cold_targets() {
     // A host without a permit lets a caller wait only for a warm-up that ends in time.
