Log ignored warm-up rates and caps of 0 once for each write

Cause: hosts ignored a warm-up rate that is negative or not a number without a word, and refused all callers of a service whose cap on flows is 0, also without one.

Change: a decoded item may carry warnings.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -252,7 +252,7 @@
         }
         let (mut settings, mut rows) = (Vec::new(), Vec::new());
         for item in items {
-            let Decoded { edition, records } = match P::decode(item) {
+            let Decoded { edition, records, warnings } = match P::decode(item) {
                 Ok(decoded) => decoded,
                 Err(error) => {
                     self.rejections.record(item, error);
@@ -266,6 +266,9 @@
                     .record(item, format_args!("another key announces target {:x}", id.0));
                 continue;
             }
+            if !warnings.is_empty() {
+                self.rejections.record(item, warnings.join("; "));
+            }
             let revision = item.revision;
             if P::key_kind(&item.key) == KeyKind::Settings {
                 let in_force = catalog.settings_version();
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -26,6 +26,8 @@
     pub edition: u64,
     /// The records.
     pub records: Vec<Record>,
+    /// What the records leave out, or what is likely an error, for the log.
+    pub warnings: Vec<String>,
 }
 
 /// Why an item of the store cannot be decoded.
--- a/crates/edge/src/rejections.rs
+++ b/crates/edge/src/rejections.rs
@@ -1,4 +1,4 @@
-//! Items of the store that cannot be used.
+//! Items of the store that cannot be used, or only in part.
 
 use std::{
     fmt::Display,
@@ -15,7 +15,7 @@
 /// Maximum number of items that are remembered as logged.
 const LOGGED_MAX: usize = 1_024;
 
-/// Counts rejected items and logs each write of one once, however often it is listed.
+/// Counts such items and logs each write of one once, however often it is listed.
 #[derive(Debug, Default)]
 pub(crate) struct Rejections {
     count: Arc<AtomicU64>,
