Replay the queues of a failure domain that returns cold

Cause: no test showed that the permits keep the queues of returned targets from overflowing.

Change: test `queues_after_return` with queues, slow cold targets and rare load reports.

--- a/crates/tagged/tests/cold_permits.rs
+++ b/crates/tagged/tests/cold_permits.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
-use catalog::{Evacuation, Record, Revision, Row, Service};
+use std::collections::VecDeque;
+
+use catalog::{Evacuation, FlowTag, Record, Revision, Row, Service};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use routing::HostId;
-use support::{FAR, Host, NEAR, SERVICE, opening, rows};
-use tagged::{Config, Dispatcher, Reason, Verdict, WarmupLimit};
+use support::{FAR, Host, NEAR, SERVICE, data, opening, rows};
+use tagged::{Config, Dispatcher, HostLoad, Reason, Segment, SegmentKind, Verdict, WarmupLimit};
 
 /// The targets of the own failure domain, which become cold; as many others stay warm.
 const COLD_TARGETS: u64 = 10;
@@ -38,6 +40,21 @@
     all
 }
 
+/// A call with one request.
+struct Call {
+    host: usize,
+    caller: u16,
+    tag: FlowTag,
+}
+
+/// The calls at a target.
+#[derive(Default)]
+struct Queue {
+    /// Each with the time at which it ends.
+    running: Vec<(u64, Call)>,
+    waiting: VecDeque<Call>,
+}
+
 struct Fleet {
     hosts: Vec<Host>,
     is_alive: Vec<bool>,
@@ -357,3 +374,79 @@
     host.now_ms += 1_000;
     (0..50).for_each(|caller| _ = host.open(caller, 0));
 }
+
+/// The calls that returned targets rejected since their queues were full, within 14 s of their
+/// return. They are three times slower while they are cold. Hosts report their loads rarely.
+fn rejected_calls(warmup_limit: Option<WarmupLimit>, seed: u64) -> usize {
+    const HOSTS: usize = 27;
+    const REPORT_INTERVAL_MS: u64 = 1_350;
+    const SLOTS: usize = 3;
+    const QUEUE_LIMIT: usize = 8;
+    const OPENINGS_PER_SECOND: u64 = 250;
+    let mut fleet = Fleet::new(HOSTS, seed);
+    fleet.set_members(|_, _| true);
+    for (number, host) in fleet.hosts.iter_mut().enumerate() {
+        let config = Config { domain_seed: NEAR, warmup_limit, ..Config::default() };
+        if warmup_limit.is_none() {
+            host.dispatcher = Dispatcher::new(config, number as u64);
+        }
+        host.now_ms = COLD_AT_MS;
+        host.set_rows(warmup_rows(WARMUP_MS, 2, Some(0)));
+    }
+    let mut queues: Vec<Queue> = Vec::new();
+    queues.resize_with(2 * COLD_TARGETS as usize, Queue::default);
+    let mut rejected = 0;
+    let close = |fleet: &mut Fleet, call: &Call| {
+        let last = data(call.caller, call.tag, 7, 7);
+        fleet.hosts[call.host].send(&Segment { kind: SegmentKind::Abort, ..last });
+    };
+    for now_ms in COLD_AT_MS + 1..COLD_AT_MS + 14_000 {
+        fleet.hosts.iter_mut().for_each(|host| host.now_ms = now_ms);
+        for (number, Queue { running, waiting }) in queues.iter_mut().enumerate() {
+            running.extract_if(.., |run| run.0 <= now_ms).for_each(|run| close(&mut fleet, &run.1));
+            let is_cold =
+                number < COLD_TARGETS as usize && now_ms < COLD_AT_MS + u64::from(WARMUP_MS);
+            while running.len() < SLOTS
+                && let Some(call) = waiting.pop_front()
+            {
+                let work_ms = fleet.rng.random_range(30..70) * if is_cold { 3 } else { 1 };
+                running.push((now_ms + work_ms, call));
+            }
+        }
+        if fleet.rng.random_range(0..1_000) < OPENINGS_PER_SECOND {
+            let host = fleet.rng.random_range(0..HOSTS);
+            fleet.callers += 1;
+            let (target, tag) = fleet.hosts[host].open(fleet.callers, 0);
+            let call = Call { host, caller: fleet.callers, tag };
+            fleet.hosts[host].send(&data(call.caller, tag, 6, 6));
+            let number = target.0 as usize - 1;
+            match queues[number].waiting.len() < QUEUE_LIMIT {
+                true => queues[number].waiting.push_back(call),
+                false => {
+                    rejected += usize::from(number < COLD_TARGETS as usize);
+                    close(&mut fleet, &call);
+                }
+            }
+        }
+        for from in 0..HOSTS {
+            if now_ms % REPORT_INTERVAL_MS == from as u64 * REPORT_INTERVAL_MS / HOSTS as u64 {
+                let targets = fleet.hosts[from].dispatcher.loads();
+                for to in (0..HOSTS).filter(|to| *to != from) {
+                    let host = HostId(from as u64 + 1);
+                    let load = HostLoad { host, is_near: true, targets: targets.clone() };
+                    fleet.hosts[to].dispatcher.on_report(load, now_ms);
+                }
+            }
+        }
+    }
+    rejected
+}
+
+#[test]
+fn queues_after_return() {
+    let limit = WarmupLimit { overshoot_permille: 1_500, slack: LIMIT as u32 };
+    for seed in 1..=3 {
+        assert_eq!(rejected_calls(Some(limit), seed), 0, "seed {seed}");
+        assert!(rejected_calls(None, seed) > 0, "seed {seed}, without a limit");
+    }
+}
