Recognize errors behind a delayed acknowledgement

Cause: on flows with several requests, no answer was seen within a round trip of targets that fail requests at once. The acknowledgement of a single packet comes 40 ms later and passes for that of an answer.

Change: where most answers are longer than a packet, a short one that is acknowledged a round trip and the delay after its request counts as too fast.

Measured: delayed_errors sets the failing targets aside and no other; it fails without the change. Not measured on a deployment yet.

--- a/crates/tagged/src/dispatcher/answers.rs
+++ b/crates/tagged/src/dispatcher/answers.rs
@@ -3,7 +3,9 @@
 use catalog::{Listener, TargetId};
 
 use super::View;
-use crate::{Counter, Dispatcher, Event, Segment, SpeedSummary, flows::Flow};
+use crate::{
+    Counter, Dispatcher, Event, Segment, SegmentKind, SpeedSummary, flows::Flow, speed::Answer,
+};
 
 impl Dispatcher {
     /// How many targets are set aside because of how they answer, and how slow the slowest is.
@@ -39,9 +41,14 @@
             && !is_next_request
             && self.warmups.share_left(flow.target, now_ms).is_none()
         {
-            let answer_ms = now_ms.saturating_sub(flow.busy_since_ms);
-            let queue_factor = self.queue_factor(flow.target);
-            self.speeds.samples_mut().add_answer(listener, flow.target, answer_ms, queue_factor);
+            let current = self.flows.get(&segment.key);
+            let answer = Answer {
+                answer_ms: now_ms.saturating_sub(flow.busy_since_ms),
+                bytes: current.map_or(0, |current| current.acknowledged_since(flow)),
+                may_be_delayed: segment.kind == SegmentKind::Data,
+                queue_factor: self.queue_factor(flow.target),
+            };
+            self.speeds.samples_mut().add_answer(listener, flow.target, &answer);
         }
     }
 
--- a/crates/tagged/src/speed/mod.rs
+++ b/crates/tagged/src/speed/mod.rs
@@ -10,7 +10,7 @@
 use catalog::{Directory, TargetId};
 use hashbrown::HashMap;
 
-pub(crate) use self::judge::Change;
+pub(crate) use self::{judge::Change, samples::Answer};
 use self::{
     judge::{Sums, Verdict},
     samples::Samples,
--- a/crates/tagged/src/speed/samples.rs
+++ b/crates/tagged/src/speed/samples.rs
@@ -24,6 +24,13 @@
 /// milliseconds: the difference between failure domains, and the clock's resolution.
 const FAST_MARGIN_MS: f64 = 4.0;
 
+/// How long callers commonly wait with the acknowledgement of a single packet, in milliseconds,
+/// unless they have data to send.
+const DELAYED_ACK_MS: f64 = 40.0;
+
+/// An answer of at most this many bytes arrives in a single packet on any path.
+const MAX_SHORT_BYTES: u32 = 536;
+
 /// A listener's times are compared only if their median is at least this many round trips, and
 /// [`MIN_WORK_MS`] more.
 const MIN_ROUND_TRIPS: f64 = 2.0;
@@ -67,6 +74,8 @@
     round_trip_ms: Median,
     /// The time from a request to the acknowledgement of its answer, in milliseconds.
     answer_ms: Median,
+    /// The length of an answer in bytes.
+    answer_bytes: Median,
 }
 
 impl Usual {
@@ -75,6 +84,30 @@
         let min_ms = MIN_ROUND_TRIPS * self.round_trip_ms.value + MIN_WORK_MS;
         self.answer_ms.count >= MIN_LISTENER_ANSWERS && self.answer_ms.value >= min_ms
     }
+
+    /// Whether an answer came within a round trip, so that the target did no work for it.
+    fn is_too_fast(&self, answer: &Answer) -> bool {
+        let over_ms = answer.answer_ms as f64 - self.round_trip_ms.value;
+        // Where most answers are short, one that took as long as the delay is nothing unusual.
+        let may_be_delayed = answer.may_be_delayed
+            && answer.bytes <= MAX_SHORT_BYTES
+            && self.answer_bytes.value > f64::from(MAX_SHORT_BYTES);
+        over_ms <= FAST_MARGIN_MS
+            || (may_be_delayed && (over_ms - DELAYED_ACK_MS).abs() <= FAST_MARGIN_MS)
+    }
+}
+
+/// An answer to a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Answer {
+    /// The time from the request to the acknowledgement.
+    pub(crate) answer_ms: u64,
+    /// How many bytes were acknowledged.
+    pub(crate) bytes: u32,
+    /// Whether the caller may have waited for more packets before it acknowledged.
+    pub(crate) may_be_delayed: bool,
+    /// The requests in flight at the target for each that it runs concurrently.
+    pub(crate) queue_factor: f64,
 }
 
 /// The answers and failures of one target in one period.
@@ -141,23 +174,17 @@
         self.usual_mut(listener).round_trip_ms.add(round_trip_ms as f64);
     }
 
-    /// Records that `target` answered a request after `answer_ms`, with `queue_factor` times as many
-    /// requests in flight as it runs concurrently.
-    pub(crate) fn add_answer(
-        &mut self,
-        listener: &Listener,
-        target: TargetId,
-        answer_ms: u64,
-        queue_factor: f64,
-    ) {
+    /// Records that `target` answered a request.
+    pub(crate) fn add_answer(&mut self, listener: &Listener, target: TargetId, answer: &Answer) {
         let usual = self.usual_mut(listener);
-        let answer_ms = answer_ms as f64;
-        let is_too_fast = answer_ms <= usual.round_trip_ms.value + FAST_MARGIN_MS;
-        let may_be_rejected = queue_factor > MAX_QUEUE_FACTOR;
+        let answer_ms = answer.answer_ms as f64;
+        let is_too_fast = usual.is_too_fast(answer);
+        let may_be_rejected = answer.queue_factor > MAX_QUEUE_FACTOR;
         let is_comparable = usual.is_comparable();
         let (min_ratio, max_ratio) = SAMPLE_RATIO;
         let ratio = answer_ms / usual.answer_ms.value;
         usual.answer_ms.add(answer_ms);
+        usual.answer_bytes.add(f64::from(answer.bytes));
         if !is_comparable || (is_too_fast && may_be_rejected) {
             return;
         }
@@ -180,8 +207,13 @@
         let listener = listener.address;
         let found = self.usual.binary_search_by_key(&listener, |usual| usual.listener);
         let position = found.unwrap_or_else(|position| {
-            let (round_trip_ms, answer_ms) = (Median::default(), Median::default());
-            self.usual.insert(position, Usual { listener, round_trip_ms, answer_ms });
+            let usual = Usual {
+                listener,
+                round_trip_ms: Median::default(),
+                answer_ms: Median::default(),
+                answer_bytes: Median::default(),
+            };
+            self.usual.insert(position, usual);
             position
         });
         &mut self.usual[position]
--- a/crates/tagged/tests/uneven_targets.rs
+++ b/crates/tagged/tests/uneven_targets.rs
@@ -22,6 +22,8 @@
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// How long a caller waits for an answer.
 const TIMEOUT_MS: u64 = 1_500;
+/// How long callers that delay acknowledgements wait for a second packet.
+const ACK_DELAY_MS: u64 = 40;
 /// The listener's aim.
 const AIM_MS: u64 = 250;
 
@@ -29,6 +31,8 @@
 enum Fault {
     None,
     Errors,
+    /// Errors of one packet, whose acknowledgement callers delay; other answers are longer.
+    DelayedErrors,
     Resets,
 }
 
@@ -39,6 +43,8 @@
     caller: u16,
     tag: FlowTag,
     requests: u32,
+    /// What the caller acknowledges once it has the answer.
+    acknowledged: u32,
     sent_at_ms: u64,
 }
 
@@ -76,6 +82,7 @@
     outcome: Outcome,
     /// The hosts that have not died; the first ones.
     live_hosts: usize,
+    answer_bytes: u32,
     work_ms: std::ops::Range<u64>,
     think_ms: std::ops::Range<u64>,
     report_delay_ms: u64,
@@ -114,6 +121,7 @@
             choices: Vec::new(),
             outcome: Outcome::default(),
             live_hosts: HOSTS,
+            answer_bytes: 100,
             work_ms: WORK_MS,
             think_ms: THINK_MS,
             report_delay_ms: 0,
@@ -173,22 +181,30 @@
         let (target, tag) = self.hosts[host].open(caller, 0);
         let target = target.0 as usize - 1;
         self.choices.push(target);
-        let flow = Flow { host, target, caller, tag, requests: 0, sent_at_ms: 0 };
+        let flow =
+            Flow { host, target, caller, tag, requests: 0, acknowledged: 100, sent_at_ms: 0 };
         self.plan(ROUND_TRIP_MS, Step::Request(flow));
     }
 
     fn request(&mut self, flow: Flow) {
-        let flow = Flow { requests: flow.requests + 1, sent_at_ms: self.now_ms(), ..flow };
+        let mut flow = Flow { requests: flow.requests + 1, sent_at_ms: self.now_ms(), ..flow };
         let sequence = 100 * flow.requests;
-        self.hosts[flow.host].send(&data(flow.caller, flow.tag, sequence, sequence));
+        self.hosts[flow.host].send(&data(flow.caller, flow.tag, sequence, flow.acknowledged));
         self.outcome.requests += 1;
         // Drawn also for good targets, so that all runs draw the same numbers.
         let is_failed = self.rng.random_bool(0.4);
-        match self.targets[flow.target].fault {
+        let fault = self.targets[flow.target].fault;
+        let is_short = is_failed && fault == Fault::DelayedErrors;
+        flow.acknowledged += if is_short { 100 } else { self.answer_bytes };
+        match fault {
             Fault::Errors if is_failed => {
                 self.outcome.failed += 1;
                 self.plan(ROUND_TRIP_MS + 1, Step::Answer(flow));
             }
+            Fault::DelayedErrors if is_failed => {
+                self.outcome.failed += 1;
+                self.plan(ROUND_TRIP_MS + 1 + ACK_DELAY_MS, Step::Answer(flow));
+            }
             Fault::Resets if is_failed => {
                 self.outcome.failed += 1;
                 self.plan(ROUND_TRIP_MS, Step::Open);
@@ -210,7 +226,7 @@
         let took_ms = self.now_ms() - flow.sent_at_ms;
         self.outcome.late += u32::from(took_ms > AIM_MS);
         let sequence = 100 * flow.requests;
-        let mut segment = data(flow.caller, flow.tag, sequence + 100, sequence + 100);
+        let mut segment = data(flow.caller, flow.tag, sequence + 100, flow.acknowledged);
         segment.data_bytes = 0;
         self.hosts[flow.host].send(&segment);
         let think_ms = self.rng.random_range(self.think_ms.clone());
@@ -289,6 +305,9 @@
 /// all are taken back afterwards.
 fn check_grey(fault: Fault, count: usize) {
     let mut fleet = Fleet::new(true, |_| 1.0);
+    if fault == Fault::DelayedErrors {
+        fleet.answer_bytes = 3_000;
+    }
     fleet.run(8);
     fleet.targets[..count].iter_mut().for_each(|target| target.fault = fault);
     let mut seen_aside = [false; TARGETS];
@@ -313,6 +332,12 @@
     check_grey(Fault::Errors, TARGETS / 2);
 }
 
+#[test]
+fn delayed_errors() {
+    check_grey(Fault::DelayedErrors, 3);
+    check_grey(Fault::DelayedErrors, TARGETS / 2);
+}
+
 #[test]
 fn grey_resets() {
     check_grey(Fault::Resets, 3);
