--- a/crates/tagged/src/dispatcher/mod.rs
+++ b/crates/tagged/src/dispatcher/mod.rs
@@ -1,7 +1,10 @@
 //! Decides what to do with each packet of a caller.
 
 mod answers;
+mod cold;
+mod leaving;
 mod loads;
+mod opening;
 mod placement;
 mod targets;
 
@@ -12,7 +15,8 @@
 pub use self::loads::LoadUpdate;
 use self::{
     loads::{OwnLoad, subtract_flow},
-    placement::{OpeningRate, Unplaced},
+    opening::is_evacuated,
+    placement::OpeningRate,
 };
 use crate::{
     Config, Counter, Counters, DomainExits, Event, FlowKey, FlowReport, Health, LatencySample,
@@ -228,78 +232,6 @@
         }
     }
 
-    fn on_opening(&mut self, view: View<'_>, segment: &Segment, copy: u32, now_ms: u64) -> Verdict {
-        if let Some(verdict) = self.forward_late_copy(view, segment, now_ms) {
-            return verdict;
-        }
-        if !view.can_place_flows {
-            return Verdict::Drop(Reason::StaleView);
-        }
-        let Some(listener) = view.directory.find_listener(segment.key.listener) else {
-            return self.refuse_opening(view, Reason::NoListener, copy);
-        };
-        let earlier = self.openings.get(&segment.key);
-        let mut tried: Vec<TargetId> = Vec::new();
-        if let Some(opening) = earlier {
-            let last = opening.tried.last().copied();
-            let is_waiting = now_ms < opening.sent_at_ms + self.config.opening_retry_ms;
-            let is_counted = opening.is_counted;
-            // An early copy is a duplicate or was delayed in the network: no retry.
-            if is_waiting
-                && let Some(last) = last.filter(|last| !is_evacuated(view, *last))
-                && let Some(verdict) = forward_to(view, last)
-            {
-                return verdict;
-            }
-            tried.extend(&opening.tried);
-            if let Some(last) = last {
-                self.counters.count(Counter::Retried);
-                self.remove_flow(segment);
-                if !is_counted && !is_waiting {
-                    self.record_unanswered(last, now_ms);
-                }
-            }
-        }
-        let index = match self.place_flow(view, listener, &tried, now_ms) {
-            Ok(index) => index,
-            Err(Unplaced::Waiting(reason)) => return Verdict::Drop(reason),
-            Err(Unplaced::Refused(reason)) => return self.refuse_opening(view, reason, copy),
-        };
-        let target = view.directory.target(index);
-        let Some(tag) = view.directory.tag_for(index) else {
-            return Verdict::Drop(Reason::NoTarget);
-        };
-        self.openings.record_sent(segment.key, target.id, now_ms);
-        if self.warmups.is_limited(target.id, now_ms) {
-            self.counters.count(Counter::OpenedCold);
-        }
-        self.warmups.record_opening(target.id, now_ms);
-        self.add_flow(segment, target.id, now_ms);
-        self.counters.count(Counter::Opened);
-        if target.domain_seed != self.config.domain_seed {
-            self.counters.count(Counter::LeftDomain);
-        }
-        let flows = self.own_load.get(&target.id).map_or(0, |own_load| own_load.flows);
-        self.push_event(Event::Opened {
-            key: segment.key,
-            target: target.id,
-            copy,
-            flows,
-            is_near: target.domain_seed == self.config.domain_seed,
-            revision: view.directory.revision,
-            view_age_ms: view.age_ms,
-        });
-        Verdict::Forward { target: target.id, address: target.address, tag }
-    }
-
-    /// Forwards a copy of an opening to the target at which its flow is established by now. Another
-    /// target would take it for a new flow, so this holds also if the target is evacuated meanwhile.
-    fn forward_late_copy(&self, view: View<'_>, segment: &Segment, now_ms: u64) -> Option<Verdict> {
-        let flow = self.flows.get(&segment.key).filter(|flow| !flow.is_opening)?;
-        let is_recent = now_ms < flow.added_at_ms + self.config.opening_retention_ms;
-        is_recent.then(|| forward_to(view, flow.target)).flatten()
-    }
-
     fn on_flow_packet(&mut self, view: View<'_>, segment: &Segment, now_ms: u64) -> Verdict {
         let Some(tag) = segment.tag else { return Verdict::Drop(Reason::NoTag) };
         let index = match self.owner_of_flow(view, segment, tag) {
@@ -377,15 +309,6 @@
         Verdict::Drop(reason)
     }
 
-    /// Refuses an opening. Another host may have forwarded an earlier copy, so that the flow may be
-    /// established; only the first copy can be refused truthfully.
-    fn refuse_opening(&self, view: View<'_>, reason: Reason, copy: u32) -> Verdict {
-        if copy > 0 {
-            return Verdict::Drop(reason);
-        }
-        self.refuse(view, reason)
-    }
-
     /// Resets the flow if the view is recent enough for that; drops the packet otherwise.
     fn refuse(&self, view: View<'_>, reason: Reason) -> Verdict {
         if view.age_ms <= self.config.max_view_age_ms {
@@ -452,23 +375,6 @@
         }
     }
 
-    /// Counts the bytes of a packet and of the answer that it acknowledges. `previous` is the flow
-    /// before the packet came.
-    fn record_crossing(&mut self, segment: &Segment, previous: Option<&Flow>, target: TargetId) {
-        let flow = self.flows.get(&segment.key);
-        let (true, Some(previous), Some(flow)) =
-            (self.config.domain_exit.is_some(), previous, flow)
-        else {
-            return;
-        };
-        let bytes = flow.acknowledged_since(previous) + u32::from(segment.data_bytes);
-        self.domain_exits.record_bytes(segment.key.listener, bytes);
-        let known = self.known.binary_search_by_key(&target, |known| known.id);
-        if known.is_ok_and(|known| self.known[known].domain_seed != self.config.domain_seed) {
-            self.counters.add(Counter::LeftDomainBytes, u64::from(bytes));
-        }
-    }
-
     fn record_reset(&mut self, view: View<'_>, segment: &Segment, reason: Reason) {
         self.counters.count_reset(reason);
         let target = segment.tag.and_then(|tag| view.directory.find_target_by_tag(tag));
@@ -489,24 +395,3 @@
         }
     }
 }
-
-/// Whether the failure domain of `target` is being evacuated.
-fn is_evacuated(view: View<'_>, target: TargetId) -> bool {
-    if view.directory.evacuations().is_empty() {
-        return false;
-    }
-    let index = view.directory.find_target(target);
-    index.is_some_and(|index| view.directory.is_evacuated(view.directory.target(index).domain_seed))
-}
-
-/// Forwards to `target` unless it is gone or unknown.
-fn forward_to(view: View<'_>, target: TargetId) -> Option<Verdict> {
-    let index = view.directory.find_target(target)?;
-    let tag = view.directory.tag_for(index)?;
-    let address = view.directory.target(index).address;
-    (view.directory.presence(index) != Presence::Gone).then_some(Verdict::Forward {
-        target,
-        address,
-        tag,
-    })
-}
--- a/crates/tagged/src/dispatcher/placement.rs
+++ b/crates/tagged/src/dispatcher/placement.rs
@@ -5,17 +5,14 @@
 
 use super::loads::OVERDUE_WEIGHT;
 use crate::{
-    Admission, Candidate, ChoiceParams, Dispatcher, Event, ExitInputs, ExitRule, Penalty, Reason,
-    Standing, View, choose_target, precedence::Room,
+    Admission, Candidate, ChoiceParams, Dispatcher, ExitRule, Penalty, Reason, Standing, View,
+    choose_target, precedence::Room,
 };
 
 /// The weight of a request in flight relative to an open flow. Callers that keep flows open have a
 /// request in flight on them about a tenth of the time.
 const BUSY_WEIGHT: f64 = 0.5;
 
-/// The factor by which a target is slower during its warm-up, and by which its load counts more.
-const WARMUP_FACTOR: f64 = 1.6;
-
 /// How many targets of a failure domain must be suspect or dead, while none makes progress, for the
 /// domain to count as silent.
 const MIN_SILENT_TARGETS: usize = 2;
@@ -123,80 +120,6 @@
             .ok_or(Unplaced::Waiting(Reason::Cold))
     }
 
-    /// Removes the candidates to which this host may not send an opening now, since all hosts together
-    /// are limited. `opening_seed` is drawn for each opening.
-    fn hold_back_cold(
-        &mut self,
-        view: View<'_>,
-        candidates: &mut Vec<Candidate>,
-        opening_seed: u64,
-        now_ms: u64,
-    ) -> Result<(), Unplaced> {
-        let id = |candidate: &Candidate| view.directory.target(candidate.index).id;
-        let is_unlikely = |candidate: &Candidate| candidate.penalty >= Penalty::Dead;
-        let mut held_back: Vec<Candidate> = candidates
-            .extract_if(.., |it| !self.warmups.may_open(id(it), opening_seed, now_ms))
-            .filter(|candidate| !is_unlikely(candidate))
-            .collect();
-        // A cold target later is better than a dead one now.
-        if held_back.is_empty() || !candidates.iter().all(is_unlikely) {
-            return Ok(());
-        }
-        if held_back.iter().any(|candidate| !self.warmups.is_limited(id(candidate), now_ms)) {
-            // Nothing else is left, so targets whose share only grows take what comes.
-            held_back.retain(|candidate| !self.warmups.is_limited(id(candidate), now_ms));
-            *candidates = held_back;
-            return Ok(());
-        }
-        match held_back.iter().any(|held| self.warmups.may_open_soon(id(held), now_ms)) {
-            true => Err(Unplaced::Waiting(Reason::Cold)),
-            false => Err(Unplaced::Refused(Reason::Cold)),
-        }
-    }
-
-    /// Draws whether a new flow leaves the failure domain.
-    fn exit_rule(
-        &mut self,
-        view: View<'_>,
-        service_seed: u64,
-        listener: &Listener,
-        candidates: &[Candidate],
-        now_ms: u64,
-    ) -> ExitRule {
-        let Some(settings) = self.config.domain_exit else { return ExitRule::FixedExcess };
-        let busy_ratio = match self.domain_exits.busy_ratio(service_seed, now_ms) {
-            Some(busy_ratio) => busy_ratio,
-            None => {
-                let busy_ratio = self.busy_ratio(view, candidates);
-                self.domain_exits.set_busy_ratio(service_seed, busy_ratio, now_ms)
-            }
-        };
-        let inputs = ExitInputs {
-            listener: listener.address,
-            candidates,
-            busy_ratio,
-            has_far_loads: self.reported.has_far_loads(),
-        };
-        if let Some(change) = self.domain_exits.adjust(settings, inputs, now_ms) {
-            self.push_event(Event::DomainExit { listener: listener.address, change });
-        }
-        self.domain_exits.rule(listener.address, self.rng.random())
-    }
-
-    /// The flows with a request in flight, as a fraction of all flows of the candidates.
-    fn busy_ratio(&self, view: View<'_>, candidates: &[Candidate]) -> f64 {
-        let (mut flows, mut busy) = (0, 0);
-        for candidate in candidates {
-            let target = view.directory.target(candidate.index).id;
-            let own_load = self.own_load.get(&target).copied().unwrap_or_default();
-            let reported = self.reported.get(target);
-            flows += own_load.flows + reported.flows;
-            // An overdue request counts several times.
-            busy += (own_load.busy + reported.busy).min(own_load.flows + reported.flows);
-        }
-        f64::from(busy) / f64::from(flows.max(1))
-    }
-
     /// Estimates how many flows other hosts of this failure domain have opened to a service since
     /// their last reports, assuming that each opens as many as this host.
     fn unreported_flows(&self, service_seed: u64, now_ms: u64) -> f64 {
@@ -255,35 +178,6 @@
         None
     }
 
-    /// Increases the load of candidates in their warm-up, so that they get new flows gradually.
-    ///
-    /// Load pattern: a target is replaced, and all its flows are opened again within a second. The
-    /// new target, which is empty but still slow, would get all of them. The mean load of the warm
-    /// targets is therefore added to its own at its start, and ever less of it until the warm-up
-    /// ends.
-    fn apply_slow_start(
-        &self,
-        view: View<'_>,
-        mut candidates: Vec<Candidate>,
-        now_ms: u64,
-    ) -> Vec<Candidate> {
-        let warmup_share_left = |candidate: &Candidate| {
-            self.warmups.share_left(view.directory.target(candidate.index).id, now_ms)
-        };
-        let warm_loads: Vec<f64> = candidates
-            .iter()
-            .filter(|candidate| warmup_share_left(candidate).is_none())
-            .map(|candidate| candidate.load)
-            .collect();
-        let mean_warm_load = warm_loads.iter().sum::<f64>() / warm_loads.len().max(1) as f64;
-        for candidate in &mut candidates {
-            if let Some(share) = warmup_share_left(candidate) {
-                candidate.load = candidate.load * WARMUP_FACTOR + mean_warm_load * share;
-            }
-        }
-        candidates
-    }
-
     /// Whether an opening is placed now. One that was placed before goes on to another target.
     fn admit(
         &mut self,
