--- a/crates/tagged/src/dispatcher/answers.rs
+++ b/crates/tagged/src/dispatcher/answers.rs
@@ -32,7 +32,7 @@
         now_ms: u64,
     ) {
         let Some(flow) = previous.filter(|_| self.config.weighs_answers) else { return };
-        // A caller acknowledges a short answer only with its next request, after a pause.
+        // The caller may have paused between the answer and its next request.
         let is_next_request = segment.data_bytes > 0;
         if flow.is_opening {
             let round_trip_ms = now_ms.saturating_sub(flow.added_at_ms);
