--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -193,8 +193,8 @@
         self.apply_update(StoreUpdate { revision, settings, rows, removed, valid_at_ms }, now_ms)
     }
 
-    /// The targets and evacuations of the catalog that the listing lacks. An entry that cannot be decoded still
-    /// counts as listed.
+    /// The targets and evacuations of the catalog that the listing lacks. An entry that cannot be
+    /// decoded still counts as listed.
     fn unlisted_rows<P: Platform>(&self, listing: &Listing) -> Vec<(Revision, Key)> {
         let mut listed: Vec<Key> =
             listing.items.iter().filter_map(|item| self.row_key::<P>(&item.key)).collect();
@@ -241,7 +241,8 @@
         self.apply_update(StoreUpdate { revision, settings, rows, removed, valid_at_ms }, now_ms)
     }
 
-    /// The settings and the rows of targets and evacuations in `items`. Items that cannot be decoded change nothing.
+    /// The settings and the rows of targets and evacuations in `items`. Items that cannot be decoded
+    /// change nothing.
     fn decode_all<'a, P: Platform>(
         &mut self,
         items: impl Iterator<Item = &'a Item>,
--- a/crates/edge/src/settings_file.rs
+++ b/crates/edge/src/settings_file.rs
@@ -105,6 +105,15 @@
         if settings.failure_domain.is_empty() {
             bail!("124: /failure_domain in {} is empty", path.display());
         }
+        if let Some(excess) = settings.placement.warmup_excess
+            && excess.factor < 1.0
+        {
+            let factor = excess.factor;
+            bail!(
+                "125: /placement/warmup_excess/factor in {}: {factor} is below 1",
+                path.display()
+            );
+        }
         Ok(settings)
     }
 
