--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -29,7 +29,7 @@
     let mut codes: Vec<u16> = settings::Code::ALL.iter().map(|code| code.number()).collect();
     // The codes of local files and addresses (1xx), `StoreError` (2xx) and edits (3xx) have no list in
     // the code.
-    codes.extend([121, 122, 123, 124, 131, 201, 202, 203, 204, 205, 206, 301, 302, 303, 304]);
+    codes.extend([121, 122, 123, 124, 125, 131, 201, 202, 203, 204, 205, 206, 301, 302, 303, 304]);
     codes.extend(flow::DropReason::ALL.iter().map(|reason| reason.code()));
     // Refused openings.
     codes.extend(501..=504);
