--- a/review/stand_in_2.rs
+++ b/review/stand_in_2.rs
@@ -104,6 +104,8 @@
 struct Store {
     record: Record,
     contents: Arc<(Mutex<Contents>, Condvar)>,
+    /// Whether it answers every call with 503 and does nothing.
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -112,7 +114,7 @@
         let address = listener.local_addr()?;
         let contents = Contents { revision: 1, ..Contents::default() };
         let store =
-            Store { record: record.clone(), contents: Arc::new((Mutex::new(contents), Condvar::new())) };
+            Store { record: record.clone(), contents: Arc::new((Mutex::new(contents), Condvar::new())), is_down: Arc::default() };
         let server = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -180,7 +182,10 @@
         let mut buffer = Vec::new();
         loop {
             let Some(path) = read_request(&mut stream, &mut buffer) else { return };
-            let (status, body) = self.answer(&path);
+            let (mut status, mut body) = self.answer(&path);
+            if self.is_down.load(Ordering::SeqCst) {
+                (status, body) = ("503 Service Unavailable", String::new());
+            }
             let head = format!(
                 "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
@@ -506,7 +511,9 @@
             let sequence = self.state.heartbeats.load(Ordering::SeqCst) + 1;
             let value = self.entry(sequence, store.record.now_ms());
             let late_ms = self.state.late_write_ms.load(Ordering::SeqCst);
-            if late_ms == 0 {
+            if store.is_down.load(Ordering::SeqCst) {
+                store.record.add(&format!("store: write {sequence} of {key} is rejected"));
+            } else if late_ms == 0 {
                 store.put(&key, value, Some(LAPSE_MS));
             } else {
                 store.record.add(&format!("write {sequence} of {key} is on its way"));
@@ -1446,91 +1453,171 @@
     openings_ms.iter().map(within).max().unwrap_or(0)
 }
 
-/// All hosts lose power, and the seeds do not return.
-fn lost_seeds(folder: &Path, program: &Path) -> Outcome<bool> {
-    const SERVICE: &str = "auction-floor";
-    /// `warmup-per-s` x `warmup-overshoot` + `warmup-slack`, with a rate of 0.
-    const LIMIT: usize = 5;
-    const COLD_MS: u64 = 2_000;
-    let listener = SocketAddrV4::new(Ipv4Addr::new(127, network(), 200, 1), 443);
-    let config = format!(
-        r#"{{"version":7,"routes":[{}],"services":[{{"name":"{SERVICE}","health-path":"/health","max-conns":3187,"protocol":"h1","tls":false,"warmup-s":2.0,"warmup-per-s":0.0}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
-        route("bids", listener, SERVICE)
-    );
-    let [a, b, c] = ["varna-a", "varna-b", "varna-c"];
-    let zones = [a, b, c, a, a, a, a, b, c];
-    let excess = r#""warmup_excess": { "factor": 1.5, "slack": 5 }, "#;
-    let mut world = World::start_in(folder, program, config.into_bytes(), &zones, excess)?;
-    let record = world.record.clone();
-    let mut targets = Vec::new();
-    for number in 0..9_u8 {
-        let zone = [a, b, c][usize::from(number / 3)];
-        let address = World::target_address(number + 1);
-        let id = 0x7f3a_9100 + u64::from(number);
-        targets.push(Target::start(id, SERVICE, zone, address, world.ports.data, &world.store)?);
+/// The service whose targets are cold after their start, and how long.
+const COLD_SERVICE: &str = "auction-floor";
+const COLD_MS: u64 = 2_000;
+
+/// The openings that a cold target may take in any second: `warmup-per-s` x `warmup-overshoot` +
+/// `warmup-slack`, with a rate of 0.
+const COLD_LIMIT: usize = 5;
+
+const VARNA: [&str; 3] = ["varna-a", "varna-b", "varna-c"];
+
+/// Callers that open a flow for each request, among hosts that limit the openings of cold targets.
+struct ColdRun {
+    world: World,
+    /// Three in each zone.
+    targets: Vec<Target>,
+    shared_targets: Arc<Mutex<Vec<Target>>>,
+    seen: Arc<Mutex<Seen>>,
+    is_ended: Arc<AtomicBool>,
+    callers: Vec<thread::JoinHandle<()>>,
+}
+
+impl ColdRun {
+    /// Starts hosts in `zones`, the targets, and callers in `caller_zones` by turns.
+    fn start(
+        folder: &Path,
+        program: &Path,
+        zones: &[&'static str],
+        caller_zones: &[&str],
+    ) -> Outcome<ColdRun> {
+        let listener = SocketAddrV4::new(Ipv4Addr::new(127, network(), 200, 1), 443);
+        let config = format!(
+            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{COLD_SERVICE}","health-path":"/health","max-conns":3187,"protocol":"h1","tls":false,"warmup-s":2.0,"warmup-per-s":0.0}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+            route("bids", listener, COLD_SERVICE)
+        );
+        let excess = r#""warmup_excess": { "factor": 1.5, "slack": 5 }, "#;
+        let world = World::start_in(folder, program, config.into_bytes(), zones, excess)?;
+        let mut targets = Vec::new();
+        for number in 0..9_u8 {
+            let zone = VARNA[usize::from(number / 3)];
+            let address = World::target_address(number + 1);
+            let id = 0x7f3a_9100 + u64::from(number);
+            targets.push(Target::start(id, COLD_SERVICE, zone, address, world.ports.data, &world.store)?);
+        }
+        world.hosts.poll_readiness();
+        world.hosts.wait_until_ready()?;
+        let mut run = ColdRun {
+            world,
+            shared_targets: Arc::new(Mutex::new(targets.clone())),
+            targets,
+            seen: Arc::default(),
+            is_ended: Arc::default(),
+            callers: Vec::new(),
+        };
+        for (number, zone) in (0..24_u8).zip(caller_zones.iter().cycle()) {
+            let route = run.world.router(zone);
+            let caller = Caller::new(number + 1, run.world.ports.data, route, &run.world.record)?;
+            let name = format!("caller-{number}");
+            let targets = run.shared_targets.clone();
+            let (seen, is_ended) = (run.seen.clone(), run.is_ended.clone());
+            run.callers.push(thread::spawn(move || {
+                run_caller(caller, &name, listener, (150, 10), &targets, &seen, &is_ended);
+            }));
+        }
+        Ok(run)
     }
-    world.hosts.poll_readiness();
-    world.hosts.wait_until_ready()?;
-    let shared_targets = Arc::new(Mutex::new(targets.clone()));
-    let seen = Arc::new(Mutex::new(Seen::default()));
-    let is_ended = Arc::new(AtomicBool::new(false));
-    let mut callers = Vec::new();
-    for number in 0..24_u8 {
-        let route = world.router([a, a, b, c][usize::from(number % 4)]);
-        let caller = Caller::new(number + 1, world.ports.data, route, &record)?;
-        let name = format!("caller-{number}");
-        let (targets, seen, is_ended) = (shared_targets.clone(), seen.clone(), is_ended.clone());
-        // A flow for each request.
-        callers.push(thread::spawn(move || {
-            run_caller(caller, &name, listener, (150, 10), &targets, &seen, &is_ended);
-        }));
+
+    /// Starts a target in the place of the one with this number, cold, under the id `id`.
+    fn start_cold(&mut self, number: usize, id: u64) -> Outcome<()> {
+        let earlier = &self.targets[number];
+        let identity = (id, earlier.service, earlier.zone, earlier.address);
+        let target = Target::start_cold(identity, self.world.ports.data, &self.world.store, COLD_MS)?;
+        lock(&self.shared_targets).push(target.clone());
+        self.targets[number] = target;
+        Ok(())
     }
-    world.sleep_until(8_000);
-    if world.has_trouble {
+
+    /// Whether a target took no more openings in any second, while it was cold, than it may.
+    fn holds(&self, number: usize) -> bool {
+        let target = &self.targets[number];
+        let cold_until_ms = target.state.cold_until_ms.load(Ordering::SeqCst);
+        let mut openings_ms = lock(&target.state.openings_ms).clone();
+        openings_ms.retain(|at_ms| *at_ms < cold_until_ms);
+        let most = most_in_a_second(&openings_ms);
+        self.world.record.add(&format!(
+            "target {:x} took {} openings while it was cold, {most} in a second: {openings_ms:?}",
+            target.id,
+            openings_ms.len()
+        ));
+        if most > COLD_LIMIT {
+            self.world.record.add(&format!(
+                "FAILBACK is broken: {most} openings in a second, {COLD_LIMIT} at most"
+            ));
+        }
+        most <= COLD_LIMIT
+    }
+
+    /// Ends the callers. Fails if hardly any request was answered.
+    fn end(self) -> Outcome<()> {
+        self.is_ended.store(true, Ordering::SeqCst);
+        for caller in self.callers {
+            caller.join().map_err(|_| "a caller failed")?;
+        }
+        let seen = lock(&self.seen);
+        self.world.record.add(&format!("answered {}, silent {}", seen.answered, seen.silent));
+        if seen.answered < 1_000 { Err("too few requests were answered".into()) } else { Ok(()) }
+    }
+}
+
+/// All hosts lose power, and the seeds do not return. Then the targets of a zone come back cold.
+fn lost_seeds(folder: &Path, program: &Path) -> Outcome<bool> {
+    let [a, b, c] = VARNA;
+    let zones = [a, b, c, a, a, a, a, b, c];
+    let mut run = ColdRun::start(folder, program, &zones, &[a, a, b, c])?;
+    let record = run.world.record.clone();
+    run.world.sleep_until(8_000);
+    if run.world.has_trouble {
         record.add("all hosts lose power");
-        (0..zones.len()).for_each(|number| world.hosts.kill(number));
+        (0..zones.len()).for_each(|number| run.world.hosts.kill(number));
         sleep_ms(1_400);
         record.add("all hosts but the seeds have power again");
         for number in 3..zones.len() {
-            world.hosts.start(number)?;
+            run.world.hosts.start(number)?;
         }
     }
+    run.world.sleep_until(18_000);
     let mut is_broken = false;
-    world.sleep_until(18_000);
-    for round in 0..3 {
+    for round in 1..=3 {
         record.add(&format!("the targets of {a} are down"));
-        for target in &targets[..3] {
-            target.end(&record);
-        }
+        run.targets[..3].iter().for_each(|target| target.end(&record));
         sleep_ms(4_500);
         record.add(&format!("the targets of {a} come back cold"));
-        for target in &mut targets[..3] {
-            let identity = (target.id + 0x100, target.service, target.zone, target.address);
-            *target = Target::start_cold(identity, world.ports.data, &world.store, COLD_MS)?;
-            lock(&shared_targets).push(target.clone());
+        for number in 0..3 {
+            run.start_cold(number, 0x7f3a_9100 + 0x100 * round + number as u64)?;
         }
         sleep_ms(COLD_MS + 6_000);
-        for target in &targets[..3] {
-            let cold_until_ms = target.state.cold_until_ms.load(Ordering::SeqCst);
-            let mut openings_ms = lock(&target.state.openings_ms).clone();
-            openings_ms.retain(|at_ms| *at_ms < cold_until_ms);
-            let most = most_in_a_second(&openings_ms);
-            record.add(&format!("round {round}: target {:x} took {} openings while it was cold, {most} in a second: {openings_ms:?}", target.id, openings_ms.len()));
-            if most > LIMIT {
-                is_broken = true;
-                record.add(&format!("FAILBACK is broken: {most} in a second, {LIMIT} at most"));
-            }
+        for number in 0..3 {
+            is_broken |= !run.holds(number);
         }
     }
-    is_ended.store(true, Ordering::SeqCst);
-    for caller in callers {
-        caller.join().map_err(|_| "a caller failed")?;
-    }
-    let seen = lock(&seen);
-    record.add(&format!("answered {}, silent {}", seen.answered, seen.silent));
-    if seen.answered < 1_000 {
-        return Err("too few requests were answered".into());
-    }
+    run.end()?;
+    Ok(!is_broken)
+}
+
+/// A target starts again under its id while the store is down.
+fn unknown_start(folder: &Path, program: &Path) -> Outcome<bool> {
+    let [a, b, c] = VARNA;
+    let mut run = ColdRun::start(folder, program, &[a, b, c, a, b, c], &VARNA)?;
+    let record = run.world.record.clone();
+    let mut is_broken = false;
+    for round in 0..3 {
+        run.world.sleep_until(8_000 + 15_000 * round as u64);
+        if run.world.has_trouble {
+            record.add("the store is down");
+            run.world.store.is_down.store(true, Ordering::SeqCst);
+        }
+        sleep_ms(500);
+        run.targets[round].end(&record);
+        sleep_ms(100);
+        run.start_cold(round, run.targets[round].id)?;
+        sleep_ms(3_900);
+        run.world.store.is_down.store(false, Ordering::SeqCst);
+        record.add("the store is up");
+        is_broken |= !run.holds(round);
+    }
+    run.end()?;
     Ok(!is_broken)
 }
 
@@ -1543,6 +1630,7 @@
     match case.as_str() {
         "late-write" => late_write(folder, program),
         "lost-seeds" => lost_seeds(folder, program),
+        "unknown-start" => unknown_start(folder, program),
         "partial-config" => partial_config(folder, program),
         _ => Err(format!("no case {case}").into()),
     }
