--- a/review/stand_in_2.rs
+++ b/review/stand_in_2.rs
@@ -40,6 +40,9 @@
 /// How long after the end of a target its address may be used again, in milliseconds (`reuse-after-s`).
 const REUSE_AFTER_MS: u64 = 2_000;
 
+/// How long after its announcement a draining target may get openings, in milliseconds (`drain-ms`).
+const DRAIN_MS: u64 = 3_000;
+
 /// How late the store executes a write that got no response, in milliseconds. The pages say: seconds.
 const LATE_WRITE_MS: u64 = 5_000;
 
@@ -1621,6 +1624,82 @@
     Ok(!is_broken)
 }
 
+/// A target crashes while an announcement is on its way, starts again under its id, and is drained. The
+/// store executes the announcement seconds later.
+fn late_start(folder: &Path, program: &Path) -> Outcome<bool> {
+    const SERVICE: &str = "cotation";
+    let listener = SocketAddrV4::new(Ipv4Addr::new(127, network(), 200, 1), 443);
+    let routes = [route("valuations", listener, SERVICE)];
+    let world = World::start(folder, program, configuration(7, &routes, &[SERVICE]))?;
+    let record = &world.record;
+    let mut targets = Vec::new();
+    for number in 0..9_u8 {
+        let zone = ZONES[usize::from(number / 3)];
+        let id = 0x7f3a_9100 + u64::from(number);
+        let address = World::target_address(number + 1);
+        targets.push(Target::start(id, SERVICE, zone, address, world.ports.data, &world.store)?);
+    }
+    world.hosts.poll_readiness();
+    world.hosts.wait_until_ready()?;
+    let shared_targets = Arc::new(Mutex::new(targets.clone()));
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let is_ended = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for number in 0..24_u8 {
+        let route = world.router(ZONES[usize::from(number % 3)]);
+        let caller = Caller::new(number + 1, world.ports.data, route, record)?;
+        let name = format!("caller-{number}");
+        let (targets, seen, is_ended) = (shared_targets.clone(), seen.clone(), is_ended.clone());
+        callers.push(thread::spawn(move || {
+            run_caller(caller, &name, listener, (150, 500), &targets, &seen, &is_ended);
+        }));
+    }
+    let mut is_broken = false;
+    for round in 0..3 {
+        world.sleep_until(8_000 + 14_000 * round as u64);
+        let earlier = targets[3 * round].clone();
+        let written = earlier.state.heartbeats.load(Ordering::SeqCst);
+        if world.has_trouble {
+            earlier.state.late_write_ms.store(LATE_WRITE_MS, Ordering::SeqCst);
+        }
+        while earlier.state.heartbeats.load(Ordering::SeqCst) == written {
+            sleep_ms(1);
+        }
+        earlier.end(record);
+        let ended_at_ms = record.now_ms();
+        sleep_ms(500);
+        let Target { id, zone, address, .. } = earlier;
+        let target = Target::start(id, SERVICE, zone, address, world.ports.data, &world.store)?;
+        lock(&shared_targets).push(target.clone());
+        world.sleep_until(ended_at_ms + LATE_WRITE_MS - DRAIN_MS - 200);
+        target.drain(record);
+        // The announcement is written at once.
+        sleep_ms(30);
+        let acknowledged_at_ms = record.now_ms();
+        world.sleep_until(ended_at_ms + 9_000);
+        let openings_ms = lock(&target.state.openings_ms).clone();
+        let late: Vec<u64> =
+            openings_ms.into_iter().filter(|at_ms| *at_ms > acknowledged_at_ms + DRAIN_MS).collect();
+        record.add(&format!("target {id:x} said at {acknowledged_at_ms} that it drains; late openings: {late:?}"));
+        if !late.is_empty() {
+            is_broken = true;
+            record.add(&format!("DRAIN is broken: target {id:x} took {} openings", late.len()));
+        }
+        target.end(record);
+        world.store.delete(&target.key());
+    }
+    is_ended.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.join().map_err(|_| "a caller failed")?;
+    }
+    let seen = lock(&seen);
+    record.add(&format!("answered {}, silent {}", seen.answered, seen.silent));
+    if seen.answered < 1_000 {
+        return Err("too few requests were answered".into());
+    }
+    Ok(!is_broken)
+}
+
 fn run() -> Outcome<bool> {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder, program] = arguments.as_slice() else {
@@ -1628,6 +1707,7 @@
     };
     let (folder, program) = (Path::new(folder), Path::new(program));
     match case.as_str() {
+        "late-start" => late_start(folder, program),
         "late-write" => late_write(folder, program),
         "lost-seeds" => lost_seeds(folder, program),
         "unknown-start" => unknown_start(folder, program),
